--- /dev/null
+++ b/tests/base/result_code_test.cpp
@@ -0,0 +1,63 @@
+#include "bronzedeal/result_code.hpp"
+#include "bronzedeal/types.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <set>
+#include <sstream>
+
+namespace bronzedeal {
+namespace {
+
+// Guards against two rows sharing a number or a name, which would make a code
+// ambiguous to callers.
+TEST(ResultCodeTable, NumbersAndNamesAreUnique)
+{
+  std::set<int> numbers;
+  std::set<std::string_view> names;
+  for (const auto& it : ResultCodeTable()) {
+    EXPECT_TRUE(numbers.insert(static_cast<int>(it.code)).second) << it.name;
+    EXPECT_TRUE(names.insert(it.name).second) << it.name;
+    EXPECT_EQ(Describe(it.code).name, it.name);
+  }
+}
+
+// Guards against "not run" being claimed by a code outside the classes 1xx and
+// 2xx.
+TEST(ResultCodeTable, NotRunCodesAreNamedSo)
+{
+  for (const auto& it : ResultCodeTable()) {
+    if (it.name.starts_with("NotRun")) {
+      EXPECT_TRUE(IsNotRun(it.code)) << it.name;
+    }
+    if (it.name.starts_with("OutcomeUnknown")) {
+      EXPECT_TRUE(IsUnknown(it.code)) << it.name;
+      EXPECT_FALSE(IsNotRun(it.code)) << it.name;
+    }
+  }
+}
+
+// Guards against a code that the documentation does not list.
+TEST(ResultCodeTable, DocumentationListsEveryCode)
+{
+  std::ifstream file(BRONZEDEAL_SOURCE_DIR "/docs/result-codes.md");
+  std::stringstream buf;
+  buf << file.rdbuf();
+  for (const auto& it : ResultCodeTable()) {
+    const auto row = "| " + std::to_string(static_cast<int>(it.code)) + " | `" +
+                     std::string(it.name) + "` | " +
+                     std::to_string(it.httpStatus) + " | " +
+                     std::string(it.meaning) + " |";
+    EXPECT_NE(buf.str().find(row), std::string::npos) << row;
+  }
+}
+
+TEST(SliceOf, DependsOnIdAndDomainOnly)
+{
+  EXPECT_EQ(SliceOf("svc-00-a", "fd-a", 6), SliceOf("svc-00-a", "fd-a", 6));
+  EXPECT_LT(SliceOf("svc-00-a", "fd-a", 6).number, 6U);
+  EXPECT_EQ(ToString({ "fd-a", 3 }), "fd-a/3");
+}
+
+} // namespace
+} // namespace bronzedeal
