--- a/tools/standin/history.cpp
+++ b/tools/standin/history.cpp
@@ -5,7 +5,7 @@
 namespace bronzedeal::tools {
 
 namespace {
-constexpr std::size_t kBlockBytes = 64 * 1024;
+constexpr std::size_t kBlockBytes = std::size_t{ 64 } * 1024;
 } // namespace
 
 HistoryFile::HistoryFile(const std::string& aPath)
--- a/tools/standin/http_listener.cpp
+++ b/tools/standin/http_listener.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// The largest configuration document is 1 MB.
-constexpr std::uint64_t kBodyLimit = 4 * 1024 * 1024;
+constexpr std::uint64_t kBodyLimit = std::uint64_t{ 4 } << 20;
 
 std::uint64_t ParseNumber(std::string_view aText, std::uint64_t aDefault)
 {
