Add settings, logging, metrics and the HTTP front end

Cause: every process needs checked settings, JSON logs, metrics and HTTP before the parts can be joined. Change: JSON field reader that reports every error in one pass, Settings, glog sink that writes JSON lines, prometheus-cpp registry behind typed counters, Beast server and a client for the platform's service.

--- /dev/null
+++ b/src/daemon/http_server.cpp
@@ -0,0 +1,304 @@
+#include "bronzedeal/daemon/http_server.hpp"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/url/params_view.hpp>
+#include <boost/url/parse.hpp>
+#include <mutex>
+#include <optional>
+#include <unordered_set>
+
+namespace bronzedeal::daemon {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+// An idle connection is kept longer than callers keep an address answer, so
+// that the caller closes it and not the server.
+constexpr std::chrono::seconds kIdleTimeout{ 120 };
+
+tcp::endpoint ParseAddress(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    throw boost::system::system_error(asio::error::invalid_argument, aAddress);
+  }
+  const auto port = std::strtoul(aAddress.c_str() + colon + 1, nullptr, 10);
+  return { asio::ip::make_address(aAddress.substr(0, colon)),
+           static_cast<std::uint16_t>(port) };
+}
+
+} // namespace
+
+HttpResponse ErrorResponse(ResultCode aCode, std::string_view aMessage)
+{
+  const auto& info = Describe(aCode);
+  const boost::json::value body{
+    { "code", static_cast<int>(aCode) },
+    { "code_name", info.name },
+    { "message", aMessage },
+  };
+  return { info.httpStatus, boost::json::serialize(body) };
+}
+
+std::string QueryParameter(std::string_view aQueryString,
+                           std::string_view aName)
+{
+  const auto url =
+    boost::urls::parse_origin_form("/?" + std::string(aQueryString));
+  if (!url) {
+    return {};
+  }
+  const auto params = url->params();
+  const auto it = params.find(aName);
+  return it == params.end() ? std::string{} : std::string((*it).value);
+}
+
+class Session;
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+  Impl(asio::io_context& aContext,
+       const std::string& aAddress,
+       HttpHandler aHandler)
+    : context(aContext)
+    , acceptor(asio::make_strand(aContext))
+    , handler(std::move(aHandler))
+  {
+    const auto endpoint = ParseAddress(aAddress);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+  }
+
+  void Accept();
+
+  asio::io_context& context;
+  tcp::acceptor acceptor;
+  HttpHandler handler;
+  std::atomic<bool> draining{ false };
+  std::atomic<bool> stopped{ false };
+  std::atomic<std::size_t> running{ 0 };
+  std::mutex mutex;
+  std::unordered_set<Session*> sessions;
+};
+
+/// One connection of a caller.
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket aSocket, std::shared_ptr<HttpServer::Impl> aServer)
+    : mStream(std::move(aSocket))
+    , mServer(std::move(aServer))
+  {
+    boost::system::error_code ec;
+    mStream.socket().set_option(tcp::no_delay(true), ec);
+    const std::lock_guard lock(mServer->mutex);
+    mServer->sessions.insert(this);
+  }
+
+  ~Session()
+  {
+    const std::lock_guard lock(mServer->mutex);
+    mServer->sessions.erase(this);
+  }
+
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void Read()
+  {
+    mParser.emplace();
+    mParser->body_limit(HttpServer::kMaxBody);
+    mStream.expires_after(kIdleTimeout);
+    http::async_read(
+      mStream,
+      mBuffer,
+      *mParser,
+      beast::bind_front_handler(&Session::OnRead, shared_from_this()));
+  }
+
+  /// Closes the connection when no request was read; a partly read request is
+  /// left to finish.
+  void CloseIfIdle()
+  {
+    asio::post(mStream.get_executor(), [self = shared_from_this()] {
+      const bool idle =
+        !self->mBusy && self->mBuffer.size() == 0 && !self->mParser->got_some();
+      if (idle) {
+        self->Shutdown();
+      }
+    });
+  }
+
+private:
+  void OnRead(beast::error_code aError, std::size_t /*aBytes*/)
+  {
+    if (aError) {
+      RefuseUnreadable(aError);
+      return;
+    }
+    mBusy = true;
+    mServer->running.fetch_add(1);
+    auto message = mParser->release();
+    mKeepAlive = message.keep_alive();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    const std::string_view target = message.target();
+    const auto mark = target.find('?');
+    request.path = std::string(target.substr(0, mark));
+    if (mark != std::string_view::npos) {
+      request.queryString = std::string(target.substr(mark + 1));
+    }
+    request.body = std::move(message.body());
+    mServer->handler(
+      std::move(request), [self = shared_from_this()](HttpResponse aResponse) {
+        asio::dispatch(self->mStream.get_executor(),
+                       [self, response = std::move(aResponse)]() mutable {
+                         self->Write(std::move(response));
+                       });
+      });
+  }
+
+  /// Answers a message that can't be parsed and closes; a connection that ended
+  /// between requests is only closed.
+  void RefuseUnreadable(beast::error_code aError)
+  {
+    if (aError == http::error::end_of_stream ||
+        aError == beast::error::timeout ||
+        aError.category() !=
+          http::make_error_code(http::error::bad_method).category()) {
+      Shutdown();
+      return;
+    }
+    const bool tooLarge = aError == http::error::body_limit;
+    mBusy = true;
+    mKeepAlive = false;
+    mServer->running.fetch_add(1);
+    Write(ErrorResponse(tooLarge ? ResultCode::BodyTooLarge
+                                 : ResultCode::MalformedHttp,
+                        aError.message()));
+  }
+
+  void Write(HttpResponse aResponse)
+  {
+    mKeepAlive = mKeepAlive && !mServer->draining.load();
+    mResponse = {};
+    mResponse.version(11);
+    mResponse.result(static_cast<unsigned>(aResponse.status));
+    mResponse.set(http::field::content_type, aResponse.contentType);
+    mResponse.keep_alive(mKeepAlive);
+    mResponse.body() = std::move(aResponse.body);
+    mResponse.prepare_payload();
+    http::async_write(
+      mStream,
+      mResponse,
+      beast::bind_front_handler(&Session::OnWrite, shared_from_this()));
+  }
+
+  void OnWrite(beast::error_code aError, std::size_t /*aBytes*/)
+  {
+    mBusy = false;
+    mServer->running.fetch_sub(1);
+    if (aError || !mKeepAlive || mServer->stopped.load()) {
+      Shutdown();
+      return;
+    }
+    Read();
+  }
+
+  void Shutdown()
+  {
+    boost::system::error_code ec;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    mStream.close();
+  }
+
+  beast::tcp_stream mStream;
+  std::shared_ptr<HttpServer::Impl> mServer;
+  beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mParser;
+  http::response<http::string_body> mResponse;
+  bool mKeepAlive = true;
+  bool mBusy = false;
+};
+
+void HttpServer::Impl::Accept()
+{
+  acceptor.async_accept(
+    asio::make_strand(context),
+    [self = shared_from_this()](boost::system::error_code aError,
+                                tcp::socket aSocket) {
+      if (self->stopped.load() || aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        std::make_shared<Session>(std::move(aSocket), self)->Read();
+      }
+      self->Accept();
+    });
+}
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       const std::string& aAddress,
+                       HttpHandler aHandler)
+  : mImpl(std::make_shared<Impl>(aContext, aAddress, std::move(aHandler)))
+{
+  mImpl->Accept();
+}
+
+HttpServer::~HttpServer()
+{
+  StopAccepting();
+}
+
+std::string HttpServer::Address() const
+{
+  const auto endpoint = mImpl->acceptor.local_endpoint();
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+void HttpServer::BeginDrain()
+{
+  mImpl->draining.store(true);
+}
+
+void HttpServer::StopAccepting()
+{
+  if (mImpl->stopped.exchange(true)) {
+    return;
+  }
+  asio::post(mImpl->acceptor.get_executor(), [impl = mImpl] {
+    boost::system::error_code ec;
+    impl->acceptor.close(ec);
+  });
+  std::vector<std::shared_ptr<Session>> sessions;
+  {
+    const std::lock_guard lock(mImpl->mutex);
+    for (auto* it : mImpl->sessions) {
+      if (auto session = it->weak_from_this().lock()) {
+        sessions.push_back(std::move(session));
+      }
+    }
+  }
+  for (const auto& it : sessions) {
+    it->CloseIfIdle();
+  }
+}
+
+std::size_t HttpServer::Running() const noexcept
+{
+  return mImpl->running.load();
+}
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/src/process/metrics.cpp
@@ -0,0 +1,133 @@
+#include "bronzedeal/process/metrics.hpp"
+
+#include <array>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace bronzedeal::process {
+
+namespace {
+
+struct MetricName
+{
+  const char* name;
+  const char* help;
+};
+
+constexpr auto kCounters = static_cast<std::size_t>(Counter::Count);
+constexpr auto kGauges = static_cast<std::size_t>(Gauge::Count);
+
+// In the order of the enumerators; docs/operations.md lists them.
+constexpr std::array<MetricName, kCounters> kCounterNames{ {
+  { "bronzedeal_queries_whole_total", "Queries answered with every shard" },
+  { "bronzedeal_queries_partial_total", "Queries answered in part" },
+  { "bronzedeal_queries_refused_total", "Queries refused as not run" },
+  { "bronzedeal_operations_ran_total", "Operations that ran" },
+  { "bronzedeal_operations_not_run_total", "Operations that did not run" },
+  { "bronzedeal_operations_unknown_total", "Operations of unknown outcome" },
+  { "bronzedeal_sub_requests_local_total", "Attempts on own servers" },
+  { "bronzedeal_sub_requests_forwarded_total", "Attempts sent to owners" },
+  { "bronzedeal_sub_requests_served_total", "Attempts sent to servers" },
+  { "bronzedeal_sub_requests_refused_total", "Attempts refused as owner" },
+  { "bronzedeal_hedges_total", "Hedged attempts" },
+  { "bronzedeal_retries_total", "Attempts after a refused or lost one" },
+  { "bronzedeal_late_responses_total", "Responses after the query's end" },
+  { "bronzedeal_config_accepted_total", "Documents put in force" },
+  { "bronzedeal_config_rejected_total", "Documents that failed validation" },
+  { "bronzedeal_config_conflicts_total", "Same version, other content" },
+  { "bronzedeal_platform_reads_total", "Reads of the platform's service" },
+  { "bronzedeal_leases_acquired_total", "Slice leases acquired" },
+  { "bronzedeal_leases_lost_total", "Slice leases lost by expiry" },
+  { "bronzedeal_pauses_detected_total", "Pauses of the process" },
+  { "bronzedeal_peer_bytes_sent_total", "Bytes sent to peers" },
+  { "bronzedeal_peer_bytes_received_total", "Bytes received from peers" },
+  { "bronzedeal_peer_control_bytes_sent_total", "Control bytes sent" },
+  { "bronzedeal_peer_control_bytes_received_total", "Control bytes received" },
+  { "bronzedeal_peer_messages_dropped_total", "Messages dropped, queue full" },
+} };
+
+constexpr std::array<MetricName, kGauges> kGaugeNames{ {
+  { "bronzedeal_config_version", "Configuration version in force" },
+  { "bronzedeal_queries_in_progress", "Queries in progress" },
+  { "bronzedeal_sub_requests_in_flight", "Attempts at backend servers" },
+  { "bronzedeal_slices_owned", "Slices with a valid lease" },
+  { "bronzedeal_members_alive", "Members of the fleet that are alive" },
+  { "bronzedeal_fenced", "1 while the instance is fenced" },
+  { "bronzedeal_quarantined", "Fingerprints in quarantine" },
+} };
+
+// Seconds; the target is a p99 of 0.17 s.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds{
+  0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.17, 0.25, 0.5, 1, 2, 5
+};
+
+} // namespace
+
+struct Metrics::Impl
+{
+  prometheus::Registry registry;
+  std::array<prometheus::Counter*, kCounters> counters{};
+  std::array<prometheus::Gauge*, kGauges> gauges{};
+  prometheus::Histogram* queryLatency = nullptr;
+};
+
+Metrics::Metrics()
+  : mImpl(std::make_unique<Impl>())
+{
+  for (std::size_t n = 0; n < kCounters; ++n) {
+    auto& family = prometheus::BuildCounter()
+                     .Name(kCounterNames.at(n).name)
+                     .Help(kCounterNames.at(n).help)
+                     .Register(mImpl->registry);
+    mImpl->counters.at(n) = &family.Add({});
+  }
+  for (std::size_t n = 0; n < kGauges; ++n) {
+    auto& family = prometheus::BuildGauge()
+                     .Name(kGaugeNames.at(n).name)
+                     .Help(kGaugeNames.at(n).help)
+                     .Register(mImpl->registry);
+    mImpl->gauges.at(n) = &family.Add({});
+  }
+  auto& family = prometheus::BuildHistogram()
+                   .Name("bronzedeal_query_seconds")
+                   .Help("Duration of queries")
+                   .Register(mImpl->registry);
+  mImpl->queryLatency = &family.Add({}, kLatencyBounds);
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::Add(Counter aCounter, double aAmount) noexcept
+{
+  mImpl->counters[static_cast<std::size_t>(aCounter)]->Increment(aAmount);
+}
+
+void Metrics::Set(Gauge aGauge, double aValue) noexcept
+{
+  mImpl->gauges[static_cast<std::size_t>(aGauge)]->Set(aValue);
+}
+
+double Metrics::Value(Counter aCounter) const noexcept
+{
+  return mImpl->counters[static_cast<std::size_t>(aCounter)]->Value();
+}
+
+double Metrics::Value(Gauge aGauge) const noexcept
+{
+  return mImpl->gauges[static_cast<std::size_t>(aGauge)]->Value();
+}
+
+void Metrics::ObserveQuery(double aSeconds) noexcept
+{
+  mImpl->queryLatency->Observe(aSeconds);
+}
+
+std::string Metrics::Expose() const
+{
+  return prometheus::TextSerializer().Serialize(mImpl->registry.Collect());
+}
+
+} // namespace bronzedeal::process
