--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -9,10 +9,10 @@
 
 namespace version {
 class Selector;
+class Snapshot;
 class SnapshotHolder;
 class WorkLedger;
 struct Document;
-struct Snapshot;
 } // namespace version
 
 namespace process {
