--- /dev/null
+++ b/include/bronzedeal/process/audit_trail.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "bronzedeal/types.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bronzedeal::process {
+
+enum class AuditKind : std::uint8_t
+{
+  ProcessStarted,
+  ConfigAccepted,
+  ConfigRejected,
+  ConfigConflict,
+  RosterChanged,
+  MemberStatusChanged,
+  MemberReplaced,
+  MessageRefused,
+  LeaseAcquired,
+  LeaseLost,
+  LeaseReleased,
+  Paused,
+  Rejoined,
+  Fenced,
+  Unfenced,
+  WithdrawalCompleted,
+  ServerLeaving,
+  ServerCold,
+  ContentQuarantined,
+  Leaving,
+  FaultInjected,
+  Other,
+};
+
+inline constexpr std::size_t kAuditKindCount = 22;
+
+/// The name of a kind in logs and reports, such as `config_accepted`.
+[[nodiscard]] std::string_view NameOf(AuditKind aKind) noexcept;
+
+/// An event as the state machines report it; the trail adds the rest.
+struct AuditNote
+{
+  AuditKind kind = AuditKind::Other;
+  ConfigVersion configVersion = 0;
+  std::string detail;
+};
+
+struct AuditEvent
+{
+  /// Rises by one with each event of a process; the first one is 1.
+  std::uint64_t sequence = 0;
+  InstanceId instance;
+  /// Unix time in milliseconds.
+  std::uint64_t unixMs = 0;
+  ConfigVersion configVersion = 0;
+  AuditKind kind = AuditKind::Other;
+  std::string detail;
+
+  bool operator==(const AuditEvent&) const = default;
+};
+
+/// The latest events of a process. Thread safe.
+class AuditTrail
+{
+public:
+  static constexpr std::size_t kDefaultLimit = 4096;
+
+  explicit AuditTrail(InstanceId aInstance, std::size_t aLimit = kDefaultLimit);
+
+  /// Appends an event and returns it; the oldest one is dropped at the limit.
+  AuditEvent Record(const AuditNote& aNote, std::uint64_t aUnixMs);
+
+  /// At most `aCount` events with a sequence above `aSequence`, oldest first. A
+  /// first sequence above `aSequence + 1` means that events were dropped.
+  [[nodiscard]] std::vector<AuditEvent> After(
+    std::uint64_t aSequence,
+    std::size_t aCount = kDefaultLimit) const;
+
+  [[nodiscard]] std::uint64_t LastSequence() const;
+
+private:
+  const InstanceId mInstance;
+  const std::size_t mLimit;
+  mutable std::mutex mMutex;
+  std::deque<AuditEvent> mEvents;
+  std::uint64_t mLast = 0;
+};
+
+} // namespace bronzedeal::process
--- /dev/null
+++ b/include/bronzedeal/process/config_distributor.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "bronzedeal/process/audit_trail.hpp"
+#include "bronzedeal/process/membership.hpp"
+#include "bronzedeal/process/messages.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bronzedeal::process {
+
+/// A valid document.
+struct Configuration
+{
+  ConfigVersion version = 0;
+  ConfigHash hash{};
+  /// Canonical text.
+  std::string text;
+};
+
+/// Outcome of parsing a document.
+struct Validation
+{
+  bool valid = false;
+  /// Version, hash and canonical text; version and hash are also set, where
+  /// they could be read, for an invalid document.
+  Configuration configuration;
+  /// Why the document is invalid.
+  std::string reason;
+};
+
+/// The functions of the version library that the distributor needs.
+struct ConfigFunctions
+{
+  std::function<Validation(std::string_view aText)> validate;
+  /// Merge patch (RFC 7386) that turns one text into the other.
+  std::function<std::string(std::string_view aFrom, std::string_view aTo)>
+    makePatch;
+  /// The patched text; nullopt when the patch is malformed.
+  std::function<std::optional<std::string>(std::string_view aText,
+                                           std::string_view aPatch)>
+    applyPatch;
+};
+
+struct ConfigOptions
+{
+  std::size_t readers = 3;
+  milliseconds serviceWait{ 25000 };
+  Duration backoffMin = milliseconds(200);
+  Duration backoffMax = milliseconds(10000);
+  /// A pull without an answer is repeated at another peer after this time.
+  Duration pullTimeout = milliseconds(500);
+  std::size_t history = 4;
+  std::size_t rememberedInvalid = 64;
+  std::uint64_t seed = 1;
+};
+
+/// The readers of a 10 s window: the first `aCount` ids by rendezvous of id and
+/// window number.
+[[nodiscard]] std::vector<InstanceId> ReadersOf(
+  std::uint64_t aWindow,
+  std::span<const InstanceId> aLive,
+  std::size_t aCount = 3);
+
+/// A read of the configuration service to be started now.
+struct ServiceRead
+{
+  ConfigVersion after = 0;
+  milliseconds wait{ 0 };
+};
+
+enum class ServiceStatus : std::uint8_t
+{
+  /// 200 with a document.
+  Document,
+  /// 304, none newer.
+  NoneNewer,
+  /// Any error or timeout.
+  Failed,
+};
+
+struct ServiceAnswer
+{
+  ServiceStatus status = ServiceStatus::Failed;
+  std::string text;
+};
+
+struct ConfigInputs
+{
+  /// `Membership::Members`.
+  std::span<const Member> members;
+  /// `Membership::ContactSince`.
+  Contact contact;
+  /// Unix time in seconds divided by 10.
+  std::uint64_t window = 0;
+};
+
+struct ConfigActions
+{
+  std::vector<Outgoing> messages;
+  /// At most one read is open at a time; answered with `OnServiceAnswer`.
+  std::optional<ServiceRead> read;
+  /// Ends the open read; the instance is no longer a reader.
+  bool cancelRead = false;
+  /// Documents to put in force, in rising order of version.
+  std::vector<Configuration> accepted;
+  std::vector<AuditNote> notes;
+};
+
+/// Obtains the configuration from the service and from peers and passes it on.
+class ConfigDistributor
+{
+public:
+  ConfigDistributor(InstanceId aSelf,
+                    ConfigFunctions aFunctions,
+                    ConfigOptions aOptions = {});
+  ~ConfigDistributor();
+  ConfigDistributor(ConfigDistributor&&) noexcept;
+  ConfigDistributor& operator=(ConfigDistributor&&) noexcept;
+
+  /// Starts reads and pulls that are due.
+  void Tick(TimePoint aNow,
+            const ConfigInputs& aInputs,
+            ConfigActions& aActions);
+
+  void OnServiceAnswer(const ServiceAnswer& aAnswer,
+                       TimePoint aNow,
+                       ConfigActions& aActions);
+
+  /// A peer has this version, as learned outside of gossip (a lease refusal).
+  void OnHeard(const InstanceId& aPeer, ConfigVersion aVersion);
+
+  void Receive(const InstanceId& aFrom,
+               const ConfigPullMessage& aPull,
+               TimePoint aNow,
+               ConfigActions& aActions);
+  void Receive(const InstanceId& aFrom,
+               const ConfigContentMessage& aContent,
+               TimePoint aNow,
+               ConfigActions& aActions);
+
+  /// After a pause: not ready until a majority was heard from again and the
+  /// highest version heard is in force.
+  void Rejoin();
+
+  /// The document in force; nullptr when there is none yet.
+  [[nodiscard]] const Configuration* Current() const noexcept;
+
+  /// True when a document is in force, a majority has been heard from (or no
+  /// peer is listed), and no live member reported a higher valid version then.
+  [[nodiscard]] bool Ready() const noexcept;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace bronzedeal::process
--- /dev/null
+++ b/include/bronzedeal/process/fence.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "bronzedeal/process/membership.hpp"
+
+namespace bronzedeal::process {
+
+/// Decides whether this instance is cut off and must take no new work: it has
+/// heard from fewer than half of the roster, itself included, within 3 s. The
+/// reachability of the configuration service plays no part.
+class Fence
+{
+public:
+  struct Options
+  {
+    /// Contact is not judged before this time after the start, a pause or the
+    /// first roster.
+    Duration grace = milliseconds(3000);
+    /// Contact must hold this long before a fence is lifted.
+    Duration liftAfter = milliseconds(500);
+  };
+
+  Fence(TimePoint aStart);
+  Fence(TimePoint aStart, Options aOptions);
+
+  /// To be called with each tick. Returns true when the state changed.
+  bool Update(const Contact& aContact, TimePoint aNow);
+
+  [[nodiscard]] bool Fenced() const noexcept { return mFenced; }
+  /// Time of the last change.
+  [[nodiscard]] TimePoint Since() const noexcept { return mSince; }
+
+private:
+  Options mOptions;
+  TimePoint mStart;
+  TimePoint mSince;
+  TimePoint mGoodSince{};
+  bool mGood = false;
+  bool mFenced = true;
+};
+
+} // namespace bronzedeal::process
--- /dev/null
+++ b/include/bronzedeal/process/membership.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "bronzedeal/process/messages.hpp"
+#include "bronzedeal/process/roster.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace bronzedeal::process {
+
+struct MembershipOptions
+{
+  Duration probeInterval = milliseconds(200);
+  /// Without an acknowledgement for this long, the probe goes on through
+  /// others.
+  Duration directTimeout = milliseconds(150);
+  /// Time from the start of a probe until the target becomes suspect.
+  Duration probeTimeout = milliseconds(500);
+  Duration suspicion = milliseconds(1000);
+  Duration contactWindow = milliseconds(3000);
+  /// A larger gap between two ticks means that the process was paused.
+  Duration pauseGap = milliseconds(1000);
+  std::size_t indirectProbes = 3;
+  /// Members that fresh updates are pushed to in each push interval.
+  std::size_t pushFanout = 2;
+  Duration pushInterval = milliseconds(100);
+  std::size_t piggybackBytes = 1200;
+  /// Each update is sent at most this factor times log2 of the roster size.
+  double retransmitFactor = 2.0;
+  std::uint64_t seed = 1;
+};
+
+/// How many roster members this instance reaches. In a large roster not every
+/// member is contacted within the window, and the count is a sample.
+struct Contact
+{
+  /// Entries of the roster, the own instance included.
+  std::size_t roster = 0;
+  /// Entries that were probed or heard from within the window, self included.
+  std::size_t tried = 0;
+  /// Entries that a message came from within the window, self included.
+  std::size_t heard = 0;
+};
+
+/// True when the instance reaches at least half of the roster. With a partial
+/// sample the threshold is lowered by two standard deviations, so that a
+/// well-connected instance is not fenced by chance.
+[[nodiscard]] bool ReachesHalf(const Contact& aContact) noexcept;
+
+/// True when enough members were contacted to rejoin: more than half of the
+/// roster, or of a sample of at least 15.
+[[nodiscard]] bool ReachesMajority(const Contact& aContact) noexcept;
+
+/// What an instance announces about itself.
+struct SelfState
+{
+  ConfigVersion configVersion = 0;
+  ConfigHash configHash{};
+  bool fenced = false;
+  bool leaving = false;
+  std::vector<SliceId> slices;
+  ConfigVersion oldestActiveVersion = 0;
+};
+
+struct TickResult
+{
+  /// The gap since the last tick exceeded `pauseGap`.
+  bool paused = false;
+};
+
+/// Outcome of a received message.
+enum class Reception : std::uint8_t
+{
+  Accepted,
+  /// The sender is on no roster.
+  UnknownSender,
+  /// A newer incarnation of the sender is known.
+  StaleIncarnation,
+};
+
+/// The table of members, kept by SWIM-style probes with suspicion (Das, Gupta
+/// and Motivala, "SWIM", DSN 2002) and gossip of records.
+class Membership
+{
+public:
+  Membership(RosterEntry aSelf,
+             Incarnation aIncarnation,
+             MembershipOptions aOptions = {});
+  ~Membership();
+  Membership(Membership&&) noexcept;
+  Membership& operator=(Membership&&) noexcept;
+
+  /// Takes a published list; a revision that is not higher is ignored. Members
+  /// that are no longer listed are forgotten.
+  void SetRoster(RosterRevision aRevision,
+                 std::vector<RosterEntry> aEntries,
+                 TimePoint aNow);
+
+  /// To be called every 50 ms.
+  TickResult Tick(TimePoint aNow, std::vector<Outgoing>& aOut);
+
+  /// Handles gossip and appends answers.
+  Reception Receive(const InstanceId& aFrom,
+                    Incarnation aIncarnation,
+                    const GossipMessage& aMessage,
+                    TimePoint aNow,
+                    std::vector<Outgoing>& aOut);
+
+  /// Checks the sender of any other message; an accepted one counts as contact.
+  /// To be called before the message is passed on.
+  Reception Admit(const InstanceId& aFrom,
+                  Incarnation aIncarnation,
+                  TimePoint aNow);
+
+  /// Changes the own record; a new sequence is used only when a value differs.
+  void UpdateSelf(const SelfState& aState);
+
+  [[nodiscard]] const Member& Self() const noexcept;
+  /// The record of a roster member, nullptr for an unknown id.
+  [[nodiscard]] const Member* Find(const InstanceId& aId) const;
+  /// All roster members, the own instance included, sorted by id.
+  [[nodiscard]] std::vector<Member> Members() const;
+  /// Members that may own slices: heard of, alive or suspect, not fenced, not
+  /// leaving by their own record or by the roster.
+  [[nodiscard]] std::vector<Candidate> Candidates() const;
+  /// Rises whenever the result of `Candidates` may have changed.
+  [[nodiscard]] std::uint64_t CandidateEpoch() const noexcept;
+  /// Rises with any change of any record.
+  [[nodiscard]] std::uint64_t Epoch() const noexcept;
+
+  [[nodiscard]] RosterRevision Revision() const noexcept;
+  [[nodiscard]] std::span<const RosterEntry> Roster() const noexcept;
+
+  /// Contacts within the last 3 s.
+  [[nodiscard]] Contact ContactSince(TimePoint aNow) const;
+  /// Forgets earlier contacts; used after a pause, to rejoin.
+  void ForgetContacts();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace bronzedeal::process
--- /dev/null
+++ b/include/bronzedeal/process/messages.hpp
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "bronzedeal/types.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Control messages between instances as plain structs. They mirror
+/// proto/bronzedeal/peer.proto; sender and incarnation travel in the envelope.
+/// A message to the own instance is delivered locally by the caller.
+
+namespace bronzedeal::process {
+
+/// xxhash128 of the canonical text of a configuration document.
+using ConfigHash = std::array<std::uint8_t, 16>;
+
+enum class MemberStatus : std::uint8_t
+{
+  Alive = 0,
+  Suspect = 1,
+  Leaving = 2,
+  Dead = 3,
+};
+
+/// What an instance states about itself; others only pass it on, except for
+/// the status. Addresses, failure domain and region come from the roster and
+/// are not part of gossip.
+struct Member
+{
+  InstanceId id;
+  std::string httpAddress;
+  std::string peerAddress;
+  FailureDomain failureDomain;
+  std::string region;
+  /// 0 for a roster entry that nothing has been heard about.
+  Incarnation incarnation = 0;
+  /// Orders the records of one incarnation.
+  std::uint64_t sequence = 0;
+  MemberStatus status = MemberStatus::Alive;
+  ConfigVersion configVersion = 0;
+  ConfigHash configHash{};
+  RosterRevision rosterRevision = 0;
+  bool fenced = false;
+  std::vector<SliceId> slices;
+  /// Oldest version below `configVersion` with unfinished work; 0 for none.
+  ConfigVersion oldestActiveVersion = 0;
+
+  bool operator==(const Member&) const = default;
+};
+
+/// Several members whose records differ from the last full record only in
+/// these values. A configuration change alters every record, and this form
+/// needs about 11 bytes for each instead of about 70.
+struct ProgressGroup
+{
+  ConfigVersion configVersion = 0;
+  ConfigHash configHash{};
+  RosterRevision rosterRevision = 0;
+  ConfigVersion oldestActiveVersion = 0;
+  /// `MemberKey` of each member, parallel to `sequences`.
+  std::vector<std::uint64_t> members;
+  std::vector<std::uint64_t> sequences;
+
+  bool operator==(const ProgressGroup&) const = default;
+};
+
+/// Identifies one incarnation of an instance: xxhash64 of the id, seeded with
+/// the incarnation.
+[[nodiscard]] std::uint64_t MemberKey(const InstanceId& aId,
+                                      Incarnation aIncarnation) noexcept;
+
+enum class GossipKind : std::uint8_t
+{
+  Ping = 0,
+  Ack = 1,
+  PingRequest = 2,
+  /// Records only; no answer is expected.
+  Push = 3,
+};
+
+struct GossipMessage
+{
+  GossipKind kind = GossipKind::Ping;
+  std::uint64_t probe = 0;
+  /// The instance to probe (`PingRequest`) or that answered (`Ack`).
+  InstanceId target;
+  /// Full records; the sender's own record is the first one.
+  std::vector<Member> records;
+  std::vector<ProgressGroup> progress;
+};
+
+/// Asks for the lease on a slice, or for its renewal.
+struct LeaseRequestMessage
+{
+  SliceId slice;
+  /// Rises with each request of one incarnation.
+  std::uint64_t requestId = 0;
+  ConfigVersion configVersion = 0;
+  RosterRevision rosterRevision = 0;
+  milliseconds duration{ 0 };
+  /// The time for which work of the holder may run past the lease's end.
+  milliseconds maxWork{ 0 };
+};
+
+enum class LeaseAnswer : std::uint8_t
+{
+  Granted = 0,
+  HeldByAnother = 1,
+  StaleConfiguration = 2,
+  StaleRoster = 3,
+  NotReady = 4,
+};
+
+struct LeaseReplyMessage
+{
+  SliceId slice;
+  std::uint64_t requestId = 0;
+  LeaseAnswer answer = LeaseAnswer::NotReady;
+  /// The witness's own versions.
+  ConfigVersion configVersion = 0;
+  RosterRevision rosterRevision = 0;
+  /// True when no work of a former holder that the witness granted to can
+  /// still be running.
+  bool cleanHandover = false;
+  /// Time until `cleanHandover` becomes true.
+  milliseconds wait{ 0 };
+};
+
+struct LeaseReleaseMessage
+{
+  SliceId slice;
+  /// The release covers the requests up to this one. A release that arrives
+  /// after a later grant to the same holder must not free that grant.
+  std::uint64_t requestId = 0;
+  /// True when the holder's work on the slice has ended.
+  bool clean = false;
+};
+
+struct ConfigPullMessage
+{
+  ConfigVersion haveVersion = 0;
+  ConfigHash haveHash{};
+};
+
+struct ConfigContentMessage
+{
+  ConfigVersion version = 0;
+  ConfigHash hash{};
+  /// The text is a merge patch (RFC 7386) of this version; 0 for a whole
+  /// document.
+  ConfigVersion baseVersion = 0;
+  std::string text;
+};
+
+using Message = std::variant<GossipMessage,
+                             LeaseRequestMessage,
+                             LeaseReplyMessage,
+                             LeaseReleaseMessage,
+                             ConfigPullMessage,
+                             ConfigContentMessage>;
+
+struct Outgoing
+{
+  InstanceId to;
+  Message body;
+};
+
+/// Upper bound of the encoded size of a record in a gossip message, in bytes.
+[[nodiscard]] std::size_t EncodedSize(const Member& aMember) noexcept;
+
+/// Upper bound of the encoded size of a group, in bytes.
+[[nodiscard]] std::size_t EncodedSize(const ProgressGroup& aGroup) noexcept;
+
+/// Upper bound of the encoded size of an envelope with this body, in bytes.
+[[nodiscard]] std::size_t EncodedSize(const Message& aMessage) noexcept;
+
+} // namespace bronzedeal::process
--- /dev/null
+++ b/include/bronzedeal/process/roster.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "bronzedeal/types.hpp"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace bronzedeal::process {
+
+/// One instance of the published list.
+struct RosterEntry
+{
+  InstanceId id;
+  std::string httpAddress;
+  std::string peerAddress;
+  FailureDomain failureDomain;
+  std::string region;
+  bool leaving = false;
+
+  bool operator==(const RosterEntry&) const = default;
+};
+
+inline constexpr std::size_t kMaxWitnesses = 9;
+
+/// The instances that vote on a slice: the first min(n, 9) of the roster in
+/// rendezvous order (xxhash64 of slice and id), alternating between failure
+/// domains. Entries that are leaving still vote.
+[[nodiscard]] std::vector<InstanceId> WitnessSet(
+  const SliceId& aSlice,
+  std::span<const RosterEntry> aRoster);
+
+/// Grants needed out of `aWitnesses`: ceil(2w/3), so 9 -> 6, 6 -> 4, 3 -> 2.
+[[nodiscard]] constexpr std::size_t QuorumOf(std::size_t aWitnesses) noexcept
+{
+  return (2 * aWitnesses + 2) / 3;
+}
+
+/// Members by which two witness sets may differ while their quorums still
+/// intersect: 2q - w - 1.
+[[nodiscard]] constexpr std::size_t ToleratedDifference(
+  std::size_t aWitnesses) noexcept
+{
+  const auto n = 2 * QuorumOf(aWitnesses);
+  return n > aWitnesses ? n - aWitnesses - 1 : 0;
+}
+
+/// An instance that may own slices.
+struct Candidate
+{
+  InstanceId id;
+  FailureDomain failureDomain;
+  std::string region;
+};
+
+/// The candidates of a slice in order of preference: those of the slice's
+/// failure domain in rendezvous order, then those of its region, then the
+/// rest. `aRegion` is the region of the slice's failure domain. Only the first
+/// `aCount` are returned.
+[[nodiscard]] std::vector<InstanceId> PreferredOwners(
+  const SliceId& aSlice,
+  const std::string& aRegion,
+  std::span<const Candidate> aCandidates,
+  std::size_t aCount = 1);
+
+} // namespace bronzedeal::process
