--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -27,6 +27,7 @@
 } // namespace process
 
 namespace connection {
+class OutlierDetector;
 class PeerTransport;
 class ServerLimiter;
 class ServerPool;
