--- a/include/bronzedeal/connection/server_limiter.hpp
+++ b/include/bronzedeal/connection/server_limiter.hpp
@@ -17,11 +17,13 @@
   Answered,
   /// Refused as not run: 503 with `x-outcome: not-run`.
   Refused,
-  /// The cancellation was confirmed; no evidence for or against the server.
+  /// The cancellation was confirmed. Evidence only when it took as long as a
+  /// slow answer: hedging cancels most of the slow attempts.
   Cancelled,
   /// No byte was written (veto, no connection); no evidence.
   NotSent,
-  /// Ended without an answer: the connection broke or was given up.
+  /// Ended without an answer: the connection broke or was given up. Counts like
+  /// a slow answer.
   Lost,
 };
 
@@ -120,13 +122,15 @@
   bool mLost = false;
   FallBack mReason = FallBack::Start;
   std::uint64_t mFallBacks = 0;
-  /// Only attempts sent after this count as evidence.
+  /// Only attempts sent after the last change of the allowance count towards
+  /// the ramp.
   TimePoint mChangedAt;
+  /// Attempts sent before the last fall-back are no evidence at all.
+  TimePoint mFellAt;
   std::optional<Duration> mGivenMedian;
   std::array<Duration, kWindow> mLatencies{};
   std::size_t mLatencyCount = 0;
-  mutable std::optional<Duration> mMedian;
-  mutable std::size_t mMedianAge = 0;
+  std::optional<Duration> mMedian;
 };
 
 } // namespace bronzedeal::connection
--- /dev/null
+++ b/tests/connection/outlier_detector_test.cpp
@@ -0,0 +1,55 @@
+#include "bronzedeal/connection/outlier_detector.hpp"
+
+#include <gtest/gtest.h>
+
+namespace bronzedeal::connection {
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+// Guards against the loss of a shard because its last replica was set aside.
+TEST(OutlierDetector, NeverSetsTheLastReplicaAside)
+{
+  OutlierDetector detector;
+  for (int i = 0; i < 5; ++i) {
+    detector.Failure(kStart);
+  }
+  EXPECT_FALSE(detector.Usable(1, kStart));
+  EXPECT_TRUE(detector.Usable(0, kStart));
+}
+
+// Guards against a server that stays set aside after it recovered, and against
+// one that returns to full use after a single period while it still fails.
+TEST(OutlierDetector, PeriodsGrowUntilASuccess)
+{
+  OutlierDetector detector;
+  auto now = kStart;
+  for (int i = 0; i < 5; ++i) {
+    detector.Failure(now);
+  }
+  now += milliseconds(500);
+  EXPECT_TRUE(detector.Usable(1, now));
+  detector.Failure(now);
+  EXPECT_FALSE(detector.Usable(1, now + milliseconds(999)));
+  now += milliseconds(1000);
+  EXPECT_TRUE(detector.Usable(1, now));
+  detector.Success(milliseconds(5), std::nullopt, now);
+  detector.Failure(now);
+  EXPECT_TRUE(detector.Usable(1, now));
+}
+
+// Guards against a server that answers everything, but far slower than the
+// other servers of its service.
+TEST(OutlierDetector, SetsASlowServerAside)
+{
+  OutlierDetector detector;
+  for (int i = 0; i < 15; ++i) {
+    detector.Success(milliseconds(60), milliseconds(10), kStart);
+    EXPECT_TRUE(detector.Usable(1, kStart));
+  }
+  detector.Success(milliseconds(60), milliseconds(10), kStart);
+  EXPECT_FALSE(detector.Usable(1, kStart));
+}
+
+} // namespace
+} // namespace bronzedeal::connection
