--- /dev/null
+++ b/include/bronzedeal/request/latency_digest.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "bronzedeal/types.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace bronzedeal::request {
+
+/// Windowed latency quantiles in fixed logarithmic buckets (8 per octave, so
+/// an estimate is within 7% of the true value), from 64 us to 16 s. A ring of
+/// windows forgets old samples. Not thread safe: guarded by the caller.
+class LatencyDigest
+{
+public:
+  /// Samples are forgotten after 3 to 4 windows.
+  explicit LatencyDigest(Duration aWindow = std::chrono::seconds(5)) noexcept;
+
+  /// Adds a latency. The time that a cancelled attempt had waited is added as
+  /// well: dropping it would remove the slow samples that the hedge replaced,
+  /// and the p95 would sink from window to window.
+  void Add(Duration aLatency, TimePoint aNow) noexcept;
+
+  /// Estimate of the median; 0 without samples.
+  [[nodiscard]] Duration Median(TimePoint aNow) noexcept;
+  /// Estimate of the 95th percentile; 0 without samples.
+  [[nodiscard]] Duration P95(TimePoint aNow) noexcept;
+  /// Samples that are not forgotten.
+  [[nodiscard]] std::uint32_t Count(TimePoint aNow) noexcept;
+
+private:
+  static constexpr std::size_t kBuckets = 145;
+  static constexpr std::size_t kWindows = 4;
+  /// Quantiles are computed anew after this many samples or half a window, so
+  /// that a read costs constant time on average.
+  static constexpr std::uint32_t kRefresh = 64;
+
+  [[nodiscard]] static std::size_t BucketOf(Duration aLatency) noexcept;
+  [[nodiscard]] static Duration MiddleOf(std::size_t aBucket) noexcept;
+  [[nodiscard]] Duration Quantile(std::uint32_t aPercent) const noexcept;
+  void Rotate(TimePoint aNow) noexcept;
+  void Refresh() noexcept;
+
+  using Counts = std::array<std::uint32_t, kBuckets>;
+  std::array<Counts, kWindows> mRing{};
+  Counts mSum{};
+  Duration mWindow;
+  TimePoint mWindowStart{};
+  std::size_t mCurrent = 0;
+  std::uint32_t mCount = 0;
+  std::uint32_t mStale = 0;
+  Duration mMedian{};
+  Duration mP95{};
+};
+
+/// The digests of all services. An index stays valid for the life of the
+/// object. Not thread safe: guarded by the caller.
+class LatencyDigests
+{
+public:
+  using Index = std::uint32_t;
+
+  explicit LatencyDigests(Duration aWindow = std::chrono::seconds(5)) noexcept;
+
+  /// The index of a service, which is added when it is not known.
+  [[nodiscard]] Index IndexOf(std::string_view aService);
+  [[nodiscard]] LatencyDigest& At(Index aIndex) noexcept
+  {
+    return mDigests[aIndex];
+  }
+  [[nodiscard]] std::size_t size() const noexcept { return mDigests.size(); }
+
+private:
+  struct Hash
+  {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view aText) const noexcept
+    {
+      return std::hash<std::string_view>{}(aText);
+    }
+  };
+
+  Duration mWindow;
+  std::unordered_map<ServiceId, Index, Hash, std::equal_to<>> mIndex;
+  std::vector<LatencyDigest> mDigests;
+};
+
+} // namespace bronzedeal::request
--- /dev/null
+++ b/include/bronzedeal/request/query_run.hpp
@@ -0,0 +1,268 @@
+#pragma once
+
+#include "bronzedeal/request/attempt.hpp"
+#include "bronzedeal/request/hedge_budget.hpp"
+#include "bronzedeal/request/latency_digest.hpp"
+#include "bronzedeal/request/replica_chooser.hpp"
+#include "bronzedeal/types.hpp"
+#include "bronzedeal/version/route.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bronzedeal::request {
+
+/// Settings of one query.
+struct QueryOptions
+{
+  TimePoint deadline{};
+  /// Attempts are numbered from here. The daemon gives each query a range of
+  /// its own, at least `kMaxAttempts` wide.
+  AttemptId firstAttempt = 0;
+  /// Smallest share of shards, 0 to 1, that the caller accepts.
+  double minCoverage = 0;
+  ContentState content = ContentState::Unproven;
+  bool hedging = true;
+  bool canary = true;
+  /// False in the second run of a query, which is not restarted again.
+  bool mayRestart = true;
+  /// Upper bound of one sub-request, `limits.max_subrequest_ms`.
+  Duration maxSubrequest = milliseconds(1000);
+  Duration minHedgeDelay = milliseconds(1);
+  Duration maxHedgeDelay = milliseconds(250);
+};
+
+/// Bound on the attempts of one query; further hedges and retries are left out.
+inline constexpr std::uint32_t kMaxAttempts = 1U << 16;
+
+/// Send a sub-request. Shard and replica are positions in the plan, see
+/// `QueryRun::Target`.
+struct Dispatch
+{
+  AttemptId attempt = 0;
+  std::uint32_t shard = 0;
+  std::uint32_t replica = 0;
+  bool hedge = false;
+  /// The content is not proven: it runs alone on its server.
+  bool canary = false;
+  TimePoint deadline{};
+};
+
+/// Cancel an attempt whose answer is not needed any more.
+struct Cancel
+{
+  AttemptId attempt = 0;
+};
+
+struct IncludedShard
+{
+  ShardId shard;
+  /// JSON text of the array of hits.
+  std::string hits;
+};
+
+struct MissingShard
+{
+  ShardId shard;
+  ResultCode code = ResultCode::Internal;
+};
+
+/// The answer to a query. Included and missing shards together are all shards
+/// of the plan, in the plan's order.
+struct QueryAnswer
+{
+  ResultCode code = ResultCode::Internal;
+  ConfigVersion configVersion = 0;
+  IndexVersion indexVersion = 0;
+  std::vector<IncludedShard> included;
+  std::vector<MissingShard> missing;
+  /// Included shards / all shards; 0 for a plan without shards.
+  double ratio = 0;
+  /// Most shards lack the pinned index version and there is time left: a new
+  /// run on the version now served may succeed.
+  bool restartWorthwhile = false;
+  /// Newest index version that a server named when it lacked the pinned one;
+  /// 0 when none was named.
+  IndexVersion newestIndexVersion = 0;
+  /// At least one shard ran and no server was lost: the content counts as
+  /// recently succeeded, see `Quarantine::NoteSuccess`.
+  bool contentSucceeded = false;
+  std::uint32_t attempts = 0;
+  std::uint32_t hedges = 0;
+  std::uint32_t retries = 0;
+};
+
+/// The last action of a query; no action follows.
+struct Finish
+{
+  QueryAnswer answer;
+};
+
+using QueryAction = std::variant<Dispatch, Cancel, Finish>;
+
+/// Fan-out of one query over the shards of its plan. The caller sends what the
+/// actions ask for and feeds back answers and the passing of time. Each shard
+/// tries each of its replicas at most once. Not thread safe.
+///
+///     QueryRun run(plan, options, budget, digests, chooser, now);
+///     std::vector<QueryAction> actions;
+///     run.Start(now, actions);
+///     run.OnResponse(attempt, result, now, actions);
+class QueryRun
+{
+public:
+  QueryRun(version::RoutePlan aPlan,
+           const QueryOptions& aOptions,
+           HedgeBudget& aBudget,
+           LatencyDigests& aDigests,
+           ReplicaChooser& aChooser,
+           TimePoint aNow);
+  QueryRun(const QueryRun&) = delete;
+  QueryRun& operator=(const QueryRun&) = delete;
+  QueryRun(QueryRun&&) = delete;
+  QueryRun& operator=(QueryRun&&) = delete;
+  /// Attempts in flight are given back to the replica chooser.
+  ~QueryRun();
+
+  void Start(TimePoint aNow, std::vector<QueryAction>& aActions);
+  /// Late, duplicate and unknown attempts are ignored.
+  void OnResponse(AttemptId aAttempt,
+                  AttemptResult aResult,
+                  TimePoint aNow,
+                  std::vector<QueryAction>& aActions);
+  void OnTimer(TimePoint aNow, std::vector<QueryAction>& aActions);
+  /// When `OnTimer` is due next; none after the end.
+  [[nodiscard]] std::optional<TimePoint> NextTimer() const noexcept;
+  /// Ends the query now, for a caller that has gone: outstanding attempts are
+  /// cancelled, and their shards are missing with `ShardCancelled`.
+  void Abort(TimePoint aNow, std::vector<QueryAction>& aActions);
+
+  [[nodiscard]] bool Finished() const noexcept { return mFinished; }
+  [[nodiscard]] const version::RoutePlan& Plan() const noexcept
+  {
+    return mPlan;
+  }
+  [[nodiscard]] const version::Replica& Target(
+    const Dispatch& aDispatch) const noexcept
+  {
+    return mPlan.shards[aDispatch.shard].replicas[aDispatch.replica];
+  }
+  /// The replica of an attempt; none for an unknown one.
+  [[nodiscard]] const version::Replica* TargetOf(
+    AttemptId aAttempt) const noexcept;
+
+private:
+  enum class ShardState : std::uint8_t
+  {
+    Waiting,
+    Running,
+    Included,
+    Missing,
+  };
+  struct Shard
+  {
+    ShardState state = ShardState::Waiting;
+    /// Bit set of the replicas already tried; replicas beyond 32 are not used.
+    std::uint32_t tried = 0;
+    std::uint32_t running = 0;
+    std::uint32_t firstReplica = 0;
+    std::uint32_t replicas = 0;
+    std::uint32_t lastAttempt = 0;
+    LatencyDigests::Index digest = 0;
+    ResultCode code = ResultCode::Internal;
+    std::string hits;
+  };
+  struct Attempt
+  {
+    std::uint32_t shard = 0;
+    std::uint32_t replica = 0;
+    bool running = false;
+    TimePoint sentAt{};
+    TimePoint deadline{};
+  };
+  struct Timer
+  {
+    TimePoint at;
+    std::uint32_t shard = 0;
+    /// Attempt that expires; `kHedge` for the hedge of a shard.
+    std::uint32_t attempt = 0;
+  };
+  static constexpr std::uint32_t kHedge = ~0U;
+
+  /// Why a further attempt is made, which decides whether it costs a token.
+  enum class Reason : std::uint8_t
+  {
+    First,
+    Hedge,
+    Refused,
+    Lost,
+  };
+
+  [[nodiscard]] ReplicaChooser::Index ServerOf(
+    const Attempt& aAttempt) const noexcept;
+  bool Send(std::uint32_t aShard,
+            Reason aReason,
+            TimePoint aNow,
+            std::vector<QueryAction>& aActions);
+  void SendCanary(TimePoint aNow, std::vector<QueryAction>& aActions);
+  void SendAll(TimePoint aNow, std::vector<QueryAction>& aActions);
+  void StopWaiting(ResultCode aCode);
+  void Include(std::uint32_t aShard,
+               AttemptResult& aResult,
+               TimePoint aNow,
+               std::vector<QueryAction>& aActions);
+  void Fail(std::uint32_t aShard,
+            ResultCode aCode,
+            TimePoint aNow,
+            std::vector<QueryAction>& aActions);
+  void MarkMissing(std::uint32_t aShard, ResultCode aCode);
+  void Hedge(std::uint32_t aShard,
+             TimePoint aNow,
+             std::vector<QueryAction>& aActions);
+  void Expire(std::uint32_t aAttempt,
+              TimePoint aNow,
+              std::vector<QueryAction>& aActions);
+  void CancelAttempt(std::uint32_t aAttempt,
+                     TimePoint aNow,
+                     std::vector<QueryAction>& aActions);
+  void CancelShard(std::uint32_t aShard,
+                   TimePoint aNow,
+                   std::vector<QueryAction>& aActions);
+  void Advance(TimePoint aNow, std::vector<QueryAction>& aActions);
+  void End(TimePoint aNow, std::vector<QueryAction>& aActions);
+  void Arm(const Timer& aTimer);
+  [[nodiscard]] bool Live(const Timer& aTimer) const noexcept;
+  [[nodiscard]] Duration HedgeDelay(std::uint32_t aShard, TimePoint aNow);
+  [[nodiscard]] bool RestartWorthwhile(TimePoint aNow) const noexcept;
+
+  version::RoutePlan mPlan;
+  QueryOptions mOptions;
+  HedgeBudget& mBudget;
+  LatencyDigests& mDigests;
+  ReplicaChooser& mChooser;
+  std::vector<Shard> mShards;
+  std::vector<ReplicaChooser::Index> mServers;
+  std::vector<Attempt> mAttempts;
+  std::vector<Timer> mTimers;
+  std::uint32_t mIncluded = 0;
+  std::uint32_t mMissing = 0;
+  std::uint32_t mVersionMissing = 0;
+  std::uint32_t mHedges = 0;
+  std::uint32_t mRetries = 0;
+  std::uint32_t mLost = 0;
+  IndexVersion mNewestIndexVersion = 0;
+  /// Shard that runs alone; `kNone` after its answer.
+  static constexpr std::uint32_t kNone = ~0U;
+  std::uint32_t mCanary = kNone;
+  /// The content was suspect from the start or became so.
+  bool mSuspect = false;
+  /// A sub-request may have run on a server.
+  bool mMayHaveRun = false;
+  bool mStarted = false;
+  bool mFinished = false;
+};
+
+} // namespace bronzedeal::request
--- /dev/null
+++ b/include/bronzedeal/request/replica_chooser.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "bronzedeal/request/attempt.hpp"
+#include "bronzedeal/types.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace bronzedeal::request {
+
+/// Chooses a replica by this instance's own observations first and by the load
+/// that owners attach to answers second, which loses weight with its age.
+/// Compares two random candidates (power of two choices). Servers that are
+/// leaving, without an owner, cold or saturated are chosen only when no other
+/// candidate is left. Not thread safe: guarded by the caller.
+class ReplicaChooser
+{
+public:
+  using Index = std::uint32_t;
+
+  struct Options
+  {
+    /// Half-life of the load attached to an answer.
+    Duration loadHalfLife = milliseconds(100);
+    /// How long a refusal (shed, overloaded) marks a server as saturated.
+    Duration saturatedFor = milliseconds(50);
+    /// How long `NotRunNoOwner` marks a server; a takeover takes up to 2.5 s.
+    Duration ownerlessFor = milliseconds(250);
+    /// How long `NotRunLeaving` and `NotRunWithdrawn` mark a server.
+    Duration leavingFor = std::chrono::seconds(3);
+    /// How long a broken connection marks a server.
+    Duration lostFor = milliseconds(500);
+    /// How long a removed server's index is not used again; longer than the
+    /// longest deadline, so that no query in progress holds the index.
+    Duration indexReuseAfter = std::chrono::seconds(60);
+  };
+
+  explicit ReplicaChooser(std::mt19937_64 aRandom);
+  ReplicaChooser(std::mt19937_64 aRandom, const Options& aOptions);
+
+  /// The index of a server, which is added when it is not known.
+  [[nodiscard]] Index IndexOf(std::string_view aServer, TimePoint aNow);
+
+  /// Position in `aCandidates` of the server to use. `aCandidates` must not be
+  /// empty.
+  [[nodiscard]] std::size_t Choose(std::span<const Index> aCandidates,
+                                   TimePoint aNow);
+
+  /// False for servers that a hedge must not go to: leaving, without an owner,
+  /// cold, saturated or lost.
+  [[nodiscard]] bool AllowsHedge(Index aServer, TimePoint aNow) const noexcept;
+
+  /// Counts an attempt as in flight until `OnAnswer` or `OnCancel`.
+  void OnDispatch(Index aServer) noexcept;
+  void OnAnswer(Index aServer,
+                ResultCode aCode,
+                Duration aLatency,
+                const ServerLoad& aLoad,
+                TimePoint aNow) noexcept;
+  /// The attempt was given up after `aWaited`.
+  void OnCancel(Index aServer, Duration aWaited, TimePoint aNow) noexcept;
+
+  /// From the platform's list of servers and the members' owned slices.
+  void SetLeaving(Index aServer, bool aLeaving) noexcept;
+  void SetOwned(Index aServer, bool aOwned) noexcept;
+
+  /// Removes every server that is not listed, after a new configuration.
+  void Retain(std::span<const ServerId> aServers, TimePoint aNow);
+
+  [[nodiscard]] std::uint32_t InFlight(Index aServer) const noexcept;
+  [[nodiscard]] std::size_t size() const noexcept { return mIndex.size(); }
+
+  /// A number below `aBound` from the injected generator.
+  [[nodiscard]] std::uint32_t Random(std::uint32_t aBound);
+
+private:
+  struct Server
+  {
+    std::uint32_t inFlight = 0;
+    /// Exponentially weighted mean in microseconds; 0 when unknown.
+    float latency = 0;
+    ServerLoad load;
+    TimePoint loadAt{};
+    TimePoint saturatedUntil{};
+    TimePoint ownerlessUntil{};
+    TimePoint leavingUntil{};
+    TimePoint lostUntil{};
+    bool leaving = false;
+    bool owned = true;
+    bool cold = false;
+  };
+  struct Removed
+  {
+    Index index;
+    TimePoint at;
+  };
+  struct Hash
+  {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view aText) const noexcept
+    {
+      return std::hash<std::string_view>{}(aText);
+    }
+  };
+
+  /// 0 usable; higher classes are chosen only when no lower one is left.
+  [[nodiscard]] int Avoidance(const Server& aServer,
+                              TimePoint aNow) const noexcept;
+  [[nodiscard]] bool Saturated(const Server& aServer,
+                               TimePoint aNow) const noexcept;
+  [[nodiscard]] double Cost(const Server& aServer,
+                            TimePoint aNow) const noexcept;
+
+  std::mt19937_64 mRandom;
+  Options mOptions;
+  std::unordered_map<ServerId, Index, Hash, std::equal_to<>> mIndex;
+  std::vector<Server> mServers;
+  std::vector<Removed> mRemoved;
+};
+
+} // namespace bronzedeal::request
--- a/include/bronzedeal/result_code.hpp
+++ b/include/bronzedeal/result_code.hpp
@@ -44,6 +44,7 @@
   OutcomeUnknown = 300,
   OutcomeUnknownIssuerGone = 301,
   OutcomeUnknownRecordExpired = 302,
+  OutcomeUnknownLowCoverage = 303,
 
   ShardTimeout = 400,
   ShardServerLost = 401,
@@ -69,7 +70,7 @@
   std::string_view meaning;
 };
 
-inline constexpr std::size_t kResultCodeCount = 42;
+inline constexpr std::size_t kResultCodeCount = 43;
 
 /// The one table of result codes; docs/result-codes.md is generated from it.
 [[nodiscard]] const std::array<ResultCodeInfo, kResultCodeCount>&
