--- a/include/bronzedeal/version/route.hpp
+++ b/include/bronzedeal/version/route.hpp
@@ -15,8 +15,10 @@
   ServiceId service;
   std::string address;
   SliceId slice;
-  /// Name of the selector that permits the server.
+  /// Name of the first selector, in document order, that permits the server.
   std::string selector;
+
+  bool operator==(const Replica&) const = default;
 };
 
 /// One shard of a plan with its permitted replicas; may have none.
@@ -24,13 +26,16 @@
 {
   ShardId shard;
   std::vector<Replica> replicas;
+
+  bool operator==(const ShardRoute&) const = default;
 };
 
 /// All shards that a query is about, pinned to one configuration version and
-/// one index version.
+/// one index version. `code` is `Ok` or `NotRunDenied`; with the latter there
+/// are no shards.
 struct RoutePlan
 {
-  ResultCode code = ResultCode::Ok;
+  ResultCode code = ResultCode::NotRunDenied;
   ConfigVersion configVersion = 0;
   IndexVersion indexVersion = 0;
   std::vector<ShardRoute> shards;
--- a/include/bronzedeal/version/snapshot.hpp
+++ b/include/bronzedeal/version/snapshot.hpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/result_code.hpp"
 #include "bronzedeal/types.hpp"
 #include "bronzedeal/version/document.hpp"
+#include "bronzedeal/version/route.hpp"
 
 #include <atomic>
 #include <memory>
@@ -12,38 +13,6 @@
 
 namespace bronzedeal::version {
 
-/// A server that a plan permits for one shard.
-struct Replica
-{
-  ServerId server;
-  ServiceId service;
-  std::string address;
-  SliceId slice;
-  /// Name of the first selector, in document order, that permits the server.
-  std::string selector;
-
-  bool operator==(const Replica&) const = default;
-};
-
-/// A shard in the scope of a request with its permitted replicas, which may be
-/// none.
-struct ShardRoute
-{
-  ShardId shard;
-  std::vector<Replica> replicas;
-
-  bool operator==(const ShardRoute&) const = default;
-};
-
-/// `code` is `Ok` or `NotRunDenied`; with the latter there are no shards.
-struct RoutePlan
-{
-  ResultCode code = ResultCode::NotRunDenied;
-  ConfigVersion configVersion = 0;
-  IndexVersion indexVersion = 0;
-  std::vector<ShardRoute> shards;
-};
-
 /// A backend server of the document with what its owner needs.
 struct ServerInfo
 {
