Membership, lease voter and holder, audit trail and fence

Cause: the daemon needs the decisions of the control plane. Change: first working implementation of these classes; Membership and the holder report events through TakeNotes; LeaseVoter::SetReady.

--- a/include/bronzedeal/process/fence.hpp
+++ b/include/bronzedeal/process/fence.hpp
@@ -6,20 +6,19 @@
 
 /// Decides whether this instance is cut off and must take no new work: it has
 /// heard from fewer than half of the roster, itself included, within 3 s. The
-/// reachability of the configuration service plays no part.
+/// reachability of the configuration service plays no part. A fresh or
+/// rejoining instance is fenced until it has made contact.
 class Fence
 {
 public:
   struct Options
   {
-    /// Contact is not judged before this time after the start, a pause or the
-    /// first roster.
-    Duration grace = milliseconds(3000);
-    /// Contact must hold this long before a fence is lifted.
+    /// Contact must hold this long before a fence is lifted, so that an
+    /// instance at the threshold does not alternate.
     Duration liftAfter = milliseconds(500);
   };
 
-  Fence(TimePoint aStart);
+  explicit Fence(TimePoint aStart);
   Fence(TimePoint aStart, Options aOptions);
 
   /// To be called with each tick. Returns true when the state changed.
@@ -31,7 +30,6 @@
 
 private:
   Options mOptions;
-  TimePoint mStart;
   TimePoint mSince;
   TimePoint mGoodSince{};
   bool mGood = false;
--- a/include/bronzedeal/process/lease.hpp
+++ b/include/bronzedeal/process/lease.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bronzedeal/process/audit_trail.hpp"
 #include "bronzedeal/process/messages.hpp"
 #include "bronzedeal/process/roster.hpp"
 
@@ -37,6 +38,9 @@
   LeaseVoter(LeaseVoter&&) noexcept;
   LeaseVoter& operator=(LeaseVoter&&) noexcept;
 
+  /// False before the instance has joined and while it rejoins after a pause:
+  /// no grants, since its configuration version may be behind.
+  void SetReady(bool aReady) noexcept;
   /// The own configuration version in force; it only rises.
   void SetConfigVersion(ConfigVersion aVersion) noexcept;
   /// A witness that a roster adds to a slice's witness set counts as fresh.
@@ -152,6 +156,9 @@
   /// configuration or roster; at most one entry for each peer.
   [[nodiscard]] std::vector<NewerPeer> TakeNewerPeers();
 
+  /// Leases acquired, lost and released since the last call.
+  [[nodiscard]] std::vector<AuditNote> TakeNotes();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> mImpl;
--- a/include/bronzedeal/process/membership.hpp
+++ b/include/bronzedeal/process/membership.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bronzedeal/process/audit_trail.hpp"
 #include "bronzedeal/process/messages.hpp"
 #include "bronzedeal/process/roster.hpp"
 
@@ -28,8 +29,15 @@
   std::size_t pushFanout = 2;
   Duration pushInterval = milliseconds(100);
   std::size_t piggybackBytes = 1200;
-  /// Each update is sent at most this factor times log2 of the roster size.
-  double retransmitFactor = 2.0;
+  /// Each update is sent this many times by each member that learns it. Push
+  /// gossip with k sends misses a member with probability e^-k, and the
+  /// refreshed records of pings reach those.
+  unsigned retransmits = 6;
+  /// Bytes of each ping and acknowledgement that refresh records in turn.
+  std::size_t refreshBytes = 160;
+  /// An unknown record that progress entries refer to is asked for after this
+  /// time, when gossip has not brought it.
+  Duration syncDelay = milliseconds(500);
   std::uint64_t seed = 1;
 };
 
@@ -131,10 +139,13 @@
   /// Rises with any change of any record.
   [[nodiscard]] std::uint64_t Epoch() const noexcept;
 
+  /// Status changes and refused senders since the last call.
+  [[nodiscard]] std::vector<AuditNote> TakeNotes();
+
   [[nodiscard]] RosterRevision Revision() const noexcept;
   [[nodiscard]] std::span<const RosterEntry> Roster() const noexcept;
 
-  /// Contacts within the last 3 s.
+  /// Contacts within the last 3 s; all zero before the first roster.
   [[nodiscard]] Contact ContactSince(TimePoint aNow) const;
   /// Forgets earlier contacts; used after a pause, to rejoin.
   void ForgetContacts();
--- a/include/bronzedeal/process/messages.hpp
+++ b/include/bronzedeal/process/messages.hpp
@@ -37,7 +37,8 @@
   std::string region;
   /// 0 for a roster entry that nothing has been heard about.
   Incarnation incarnation = 0;
-  /// Orders the records of one incarnation.
+  /// Orders the records of one incarnation. The lower 8 bits count changes
+  /// that a `ProgressGroup` can carry, the bits above them all other changes.
   std::uint64_t sequence = 0;
   MemberStatus status = MemberStatus::Alive;
   ConfigVersion configVersion = 0;
@@ -79,6 +80,9 @@
   PingRequest = 2,
   /// Records only; no answer is expected.
   Push = 3,
+  /// Asks for the full records named in `progress`, or for all when there are
+  /// none; answered with pushes.
+  Sync = 4,
 };
 
 struct GossipMessage
@@ -87,7 +91,8 @@
   std::uint64_t probe = 0;
   /// The instance to probe (`PingRequest`) or that answered (`Ack`).
   InstanceId target;
-  /// Full records; the sender's own record is the first one.
+  /// Full records; that of the sender comes first in pings and
+  /// acknowledgements.
   std::vector<Member> records;
   std::vector<ProgressGroup> progress;
 };
