Add ConfigDistributor

Cause: every instance needs the document in force from few reads of the service. Change: readers in rotation, pulls with patches, refusal of conflicts and invalid documents, the fresh start rule; contacts count only members that reported their own record for joining; a late grant after a release no longer counts.

--- a/include/bronzedeal/process/config_distributor.hpp
+++ b/include/bronzedeal/process/config_distributor.hpp
@@ -55,6 +55,15 @@
   Duration backoffMax = milliseconds(10000);
   /// A pull without an answer is repeated at another peer after this time.
   Duration pullTimeout = milliseconds(500);
+  /// How long a member that has never been heard from counts as a reader.
+  Duration startGrace = milliseconds(5000);
+  /// An instance without a document reads the service itself after this time,
+  /// and up to as much again by chance.
+  Duration freshRead = milliseconds(1500);
+  /// A former reader ends its read after this time, when the next has begun.
+  Duration handOver = milliseconds(1000);
+  /// Shortest time between two reads, for a service that answers at once.
+  Duration readGap = milliseconds(200);
   std::size_t history = 4;
   std::size_t rememberedInvalid = 64;
   std::uint64_t seed = 1;
@@ -92,7 +101,7 @@
 
 struct ConfigInputs
 {
-  /// `Membership::Members`.
+  /// `Membership::Records`.
   std::span<const Member> members;
   /// `Membership::ContactSince`.
   Contact contact;
--- a/include/bronzedeal/process/membership.hpp
+++ b/include/bronzedeal/process/membership.hpp
@@ -51,6 +51,9 @@
   std::size_t tried = 0;
   /// Entries that a message came from within the window, self included.
   std::size_t heard = 0;
+  /// Entries that sent their own record within the window, self included; only
+  /// these have stated their configuration version.
+  std::size_t reported = 0;
 };
 
 /// True when the instance reaches at least half of the roster. With a partial
@@ -58,8 +61,8 @@
 /// well-connected instance is not fenced by chance.
 [[nodiscard]] bool ReachesHalf(const Contact& aContact) noexcept;
 
-/// True when enough members were contacted to rejoin: more than half of the
-/// roster, or of a sample of at least 15.
+/// True when enough members have reported to join or rejoin: more than half of
+/// the roster, or of a sample of at least 15.
 [[nodiscard]] bool ReachesMajority(const Contact& aContact) noexcept;
 
 /// What an instance announces about itself.
@@ -131,6 +134,8 @@
   [[nodiscard]] const Member* Find(const InstanceId& aId) const;
   /// All roster members, the own instance included, sorted by id.
   [[nodiscard]] std::vector<Member> Members() const;
+  /// The same without a copy; valid until the next call that is not const.
+  [[nodiscard]] std::span<const Member> Records() const;
   /// Members that may own slices: heard of, alive or suspect, not fenced, not
   /// leaving by their own record or by the roster.
   [[nodiscard]] std::vector<Candidate> Candidates() const;
--- a/include/bronzedeal/process/withdrawal_report.hpp
+++ b/include/bronzedeal/process/withdrawal_report.hpp
@@ -29,7 +29,7 @@
 {
   RosterRevision rosterRevision = 0;
   std::span<const RosterEntry> roster;
-  /// `Membership::Members`.
+  /// `Membership::Records`.
   std::span<const Member> members;
   /// All slices of the configuration in force.
   std::span<const SliceId> slices;
--- /dev/null
+++ b/src/process/config_distributor.cpp
@@ -0,0 +1,471 @@
+#include "bronzedeal/process/config_distributor.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+#include <xxhash.h>
+
+namespace bronzedeal::process {
+namespace {
+
+using DocumentKey = std::pair<ConfigVersion, ConfigHash>;
+
+struct Pull
+{
+  InstanceId peer;
+  ConfigVersion version = 0;
+  TimePoint sent;
+};
+
+std::string Hex(const ConfigHash& aHash)
+{
+  std::string text;
+  for (std::size_t i = 0; i < 4; ++i) {
+    text += fmt::format("{:02x}", aHash[i]);
+  }
+  return text;
+}
+
+} // namespace
+
+std::vector<InstanceId> ReadersOf(std::uint64_t aWindow,
+                                  std::span<const InstanceId> aLive,
+                                  std::size_t aCount)
+{
+  std::vector<std::pair<std::uint64_t, const InstanceId*>> ranked;
+  ranked.reserve(aLive.size());
+  for (const auto& it : aLive) {
+    ranked.emplace_back(XXH64(it.data(), it.size(), aWindow), &it);
+  }
+  const auto n = std::min(aCount, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                    ranked.end(),
+                    [](const auto& aL, const auto& aR) {
+                      return aL.first != aR.first ? aL.first < aR.first
+                                                  : *aL.second < *aR.second;
+                    });
+  std::vector<InstanceId> readers;
+  for (std::size_t i = 0; i < n; ++i) {
+    readers.push_back(*ranked[i].second);
+  }
+  return readers;
+}
+
+struct ConfigDistributor::Impl
+{
+  InstanceId self;
+  ConfigFunctions functions;
+  ConfigOptions options;
+  std::mt19937_64 random;
+  std::optional<Configuration> current;
+  std::deque<Configuration> former;
+  /// Patches to the document in force, by base version.
+  std::map<ConfigVersion, std::string> patches;
+  std::deque<DocumentKey> invalid;
+  std::set<DocumentKey> conflicts;
+  std::map<InstanceId, ConfigVersion> hints;
+  std::optional<Pull> pull;
+  InstanceId lastPeer;
+  bool wantWhole = false;
+  /// Highest version that the service has returned, valid or not.
+  ConfigVersion serviceVersion = 0;
+  bool reading = false;
+  TimePoint readStart;
+  std::optional<TimePoint> nextRead;
+  Duration backoff{ 0 };
+  std::optional<TimePoint> started;
+  std::optional<TimePoint> freshReadAt;
+  std::optional<TimePoint> notReaderSince;
+  std::uint64_t window = 0;
+  std::vector<InstanceId> readers;
+  bool majority = false;
+  bool ready = false;
+
+  ConfigVersion Version() const { return current ? current->version : 0; }
+
+  bool IsInvalid(ConfigVersion aVersion, const ConfigHash& aHash) const
+  {
+    return std::find(invalid.begin(),
+                     invalid.end(),
+                     DocumentKey{ aVersion, aHash }) != invalid.end();
+  }
+
+  bool IsInvalid(ConfigVersion aVersion) const
+  {
+    return std::any_of(invalid.begin(), invalid.end(), [&](const auto& aIt) {
+      return aIt.first == aVersion;
+    });
+  }
+
+  void Remember(ConfigVersion aVersion, const ConfigHash& aHash)
+  {
+    if (IsInvalid(aVersion, aHash)) {
+      return;
+    }
+    if (invalid.size() >= options.rememberedInvalid) {
+      invalid.pop_front();
+    }
+    invalid.emplace_back(aVersion, aHash);
+  }
+
+  void CheckConflict(ConfigVersion aVersion,
+                     const ConfigHash& aHash,
+                     std::string_view aSource,
+                     ConfigActions& aActions)
+  {
+    if (!current || aVersion != current->version || aHash == current->hash ||
+        !conflicts.emplace(aVersion, aHash).second) {
+      return;
+    }
+    aActions.notes.push_back(
+      { AuditKind::ConfigConflict,
+        aVersion,
+        fmt::format("{} has version {} with hash {}, {} is in force",
+                    aSource,
+                    aVersion,
+                    Hex(aHash),
+                    Hex(current->hash)) });
+  }
+
+  void Accept(Configuration aDocument,
+              std::string_view aSource,
+              ConfigActions& aActions)
+  {
+    CheckConflict(aDocument.version, aDocument.hash, aSource, aActions);
+    if (current && aDocument.version <= current->version) {
+      return;
+    }
+    if (current) {
+      former.push_back(std::move(*current));
+      if (former.size() > options.history) {
+        former.pop_front();
+      }
+    }
+    current = std::move(aDocument);
+    patches.clear();
+    conflicts.clear();
+    pull.reset();
+    wantWhole = false;
+    std::erase_if(
+      hints, [&](const auto& aIt) { return aIt.second <= current->version; });
+    aActions.accepted.push_back(*current);
+    aActions.notes.push_back({ AuditKind::ConfigAccepted,
+                               current->version,
+                               fmt::format("from {}", aSource) });
+  }
+
+  void Reject(ConfigVersion aVersion,
+              const ConfigHash& aHash,
+              std::string_view aSource,
+              std::string_view aReason,
+              ConfigActions& aActions)
+  {
+    if (IsInvalid(aVersion, aHash)) {
+      return;
+    }
+    Remember(aVersion, aHash);
+    aActions.notes.push_back({ AuditKind::ConfigRejected,
+                               aVersion,
+                               fmt::format("from {}: {}", aSource, aReason) });
+  }
+
+  const Configuration* Known(ConfigVersion aVersion) const
+  {
+    if (current && current->version == aVersion) {
+      return &*current;
+    }
+    const auto it =
+      std::find_if(former.begin(), former.end(), [&](const auto& aIt) {
+        return aIt.version == aVersion;
+      });
+    return it == former.end() ? nullptr : &*it;
+  }
+
+  static bool IsLive(const Member& aMember)
+  {
+    return aMember.status == MemberStatus::Alive ||
+           aMember.status == MemberStatus::Suspect;
+  }
+
+  bool IsReader(const ConfigInputs& aInputs, TimePoint aNow)
+  {
+    if (!current && aNow >= *freshReadAt) {
+      return true;
+    }
+    std::vector<InstanceId> live;
+    const bool grace = aNow - *started < options.startGrace;
+    for (const auto& it : aInputs.members) {
+      if (it.id == self || (IsLive(it) && (it.incarnation != 0 || grace))) {
+        live.push_back(it.id);
+      }
+    }
+    const auto chosen = ReadersOf(aInputs.window, live, options.readers);
+    return std::find(chosen.begin(), chosen.end(), self) != chosen.end();
+  }
+
+  void TickReads(TimePoint aNow,
+                 const ConfigInputs& aInputs,
+                 ConfigActions& aActions)
+  {
+    if (IsReader(aInputs, aNow)) {
+      notReaderSince.reset();
+      if (!reading && (!nextRead || aNow >= *nextRead)) {
+        reading = true;
+        readStart = aNow;
+        aActions.read = ServiceRead{ std::max(Version(), serviceVersion),
+                                     options.serviceWait };
+      }
+      return;
+    }
+    if (!reading) {
+      return;
+    }
+    if (!notReaderSince) {
+      notReaderSince = aNow;
+    }
+    if (aNow - *notReaderSince >= options.handOver) {
+      reading = false;
+      aActions.cancelRead = true;
+    }
+  }
+
+  void TickPulls(TimePoint aNow,
+                 const ConfigInputs& aInputs,
+                 ConfigActions& aActions)
+  {
+    if (pull) {
+      if (aNow - pull->sent < options.pullTimeout) {
+        return;
+      }
+      hints.erase(pull->peer);
+      pull.reset();
+    }
+    ConfigVersion highest = Version();
+    std::vector<InstanceId> peers;
+    const auto consider = [&](const InstanceId& aPeer, ConfigVersion aVersion) {
+      if (aPeer == self || aVersion < highest || aVersion <= Version()) {
+        return;
+      }
+      if (aVersion > highest) {
+        highest = aVersion;
+        peers.clear();
+      }
+      peers.push_back(aPeer);
+    };
+    for (const auto& it : aInputs.members) {
+      if (it.status != MemberStatus::Dead &&
+          !IsInvalid(it.configVersion, it.configHash)) {
+        consider(it.id, it.configVersion);
+      }
+    }
+    for (const auto& [peer, version] : hints) {
+      if (!IsInvalid(version)) {
+        consider(peer, version);
+      }
+    }
+    if (peers.size() > 1) {
+      std::erase(peers, lastPeer);
+    }
+    if (peers.empty()) {
+      return;
+    }
+    lastPeer = peers[random() % peers.size()];
+    pull = Pull{ lastPeer, highest, aNow };
+    ConfigPullMessage message;
+    if (current && !wantWhole) {
+      message = { current->version, current->hash };
+    }
+    aActions.messages.push_back({ lastPeer, message });
+  }
+
+  void CheckReady(const ConfigInputs& aInputs)
+  {
+    if (ready) {
+      return;
+    }
+    majority = majority || ReachesMajority(aInputs.contact);
+    if (!majority || !current) {
+      return;
+    }
+    ready = std::none_of(
+      aInputs.members.begin(), aInputs.members.end(), [&](const auto& aIt) {
+        return aIt.status != MemberStatus::Dead &&
+               aIt.configVersion > Version() &&
+               !IsInvalid(aIt.configVersion, aIt.configHash);
+      });
+  }
+};
+
+ConfigDistributor::ConfigDistributor(InstanceId aSelf,
+                                     ConfigFunctions aFunctions,
+                                     ConfigOptions aOptions)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->random.seed(aOptions.seed ^ MemberKey(aSelf, 2));
+  mImpl->self = std::move(aSelf);
+  mImpl->functions = std::move(aFunctions);
+  mImpl->options = aOptions;
+}
+
+ConfigDistributor::~ConfigDistributor() = default;
+ConfigDistributor::ConfigDistributor(ConfigDistributor&&) noexcept = default;
+ConfigDistributor& ConfigDistributor::operator=(ConfigDistributor&&) noexcept =
+  default;
+
+void ConfigDistributor::Tick(TimePoint aNow,
+                             const ConfigInputs& aInputs,
+                             ConfigActions& aActions)
+{
+  auto& impl = *mImpl;
+  if (!impl.started) {
+    impl.started = aNow;
+    const auto delay = static_cast<std::uint64_t>(
+      std::max<Duration::rep>(impl.options.freshRead.count(), 1));
+    impl.freshReadAt =
+      aNow + impl.options.freshRead + Duration(impl.random() % delay);
+  }
+  for (const auto& it : aInputs.members) {
+    if (it.id != impl.self) {
+      impl.CheckConflict(it.configVersion, it.configHash, it.id, aActions);
+    }
+  }
+  impl.TickReads(aNow, aInputs, aActions);
+  impl.TickPulls(aNow, aInputs, aActions);
+  impl.CheckReady(aInputs);
+}
+
+void ConfigDistributor::OnServiceAnswer(const ServiceAnswer& aAnswer,
+                                        TimePoint aNow,
+                                        ConfigActions& aActions)
+{
+  auto& impl = *mImpl;
+  impl.reading = false;
+  if (aAnswer.status == ServiceStatus::Failed) {
+    const auto longest = std::clamp<Duration>(
+      impl.backoff * 2, impl.options.backoffMin, impl.options.backoffMax);
+    impl.backoff = longest;
+    const auto half = static_cast<std::uint64_t>(longest.count() / 2) + 1;
+    impl.nextRead = aNow + longest / 2 + Duration(impl.random() % half);
+    return;
+  }
+  impl.backoff = Duration(0);
+  impl.nextRead = std::max(aNow, impl.readStart + impl.options.readGap);
+  if (aAnswer.status == ServiceStatus::NoneNewer) {
+    return;
+  }
+  auto result = impl.functions.validate(aAnswer.text);
+  auto& document = result.configuration;
+  impl.serviceVersion = std::max(impl.serviceVersion, document.version);
+  if (result.valid) {
+    impl.Accept(std::move(document), "the service", aActions);
+  } else {
+    impl.Reject(
+      document.version, document.hash, "the service", result.reason, aActions);
+  }
+}
+
+void ConfigDistributor::OnHeard(const InstanceId& aPeer, ConfigVersion aVersion)
+{
+  auto& impl = *mImpl;
+  if (aVersion > impl.Version()) {
+    auto& known = impl.hints[aPeer];
+    known = std::max(known, aVersion);
+  }
+}
+
+void ConfigDistributor::Receive(const InstanceId& aFrom,
+                                const ConfigPullMessage& aPull,
+                                TimePoint /*aNow*/,
+                                ConfigActions& aActions)
+{
+  auto& impl = *mImpl;
+  if (!impl.current || aPull.haveVersion >= impl.current->version) {
+    return;
+  }
+  const auto& current = *impl.current;
+  ConfigContentMessage content{ current.version, current.hash, 0, {} };
+  const auto* base = impl.Known(aPull.haveVersion);
+  if (base != nullptr && base->hash == aPull.haveHash) {
+    auto& patch = impl.patches[base->version];
+    if (patch.empty()) {
+      patch = impl.functions.makePatch(base->text, current.text);
+    }
+    if (!patch.empty() && patch.size() < current.text.size()) {
+      content.baseVersion = base->version;
+      content.text = patch;
+    }
+  }
+  if (content.baseVersion == 0) {
+    content.text = current.text;
+  }
+  aActions.messages.push_back({ aFrom, std::move(content) });
+}
+
+void ConfigDistributor::Receive(const InstanceId& aFrom,
+                                const ConfigContentMessage& aContent,
+                                TimePoint /*aNow*/,
+                                ConfigActions& aActions)
+{
+  auto& impl = *mImpl;
+  impl.CheckConflict(aContent.version, aContent.hash, aFrom, aActions);
+  if (aContent.version <= impl.Version() ||
+      impl.IsInvalid(aContent.version, aContent.hash)) {
+    return;
+  }
+  if (impl.pull && impl.pull->peer == aFrom) {
+    impl.pull.reset();
+  }
+  std::optional<std::string> text = aContent.text;
+  if (aContent.baseVersion != 0) {
+    const auto* base = impl.Known(aContent.baseVersion);
+    text = base == nullptr
+             ? std::nullopt
+             : impl.functions.applyPatch(base->text, aContent.text);
+    if (!text) {
+      impl.wantWhole = true;
+      return;
+    }
+  }
+  auto result = impl.functions.validate(*text);
+  const auto& document = result.configuration;
+  const bool same =
+    document.version == aContent.version && document.hash == aContent.hash;
+  if (result.valid && same) {
+    impl.Accept(std::move(result.configuration), aFrom, aActions);
+    return;
+  }
+  if (aContent.baseVersion != 0) {
+    // The patch gave another document; the whole one decides.
+    impl.wantWhole = true;
+    return;
+  }
+  impl.Reject(aContent.version,
+              aContent.hash,
+              aFrom,
+              result.valid ? "the text does not match version and hash"
+                           : result.reason,
+              aActions);
+}
+
+void ConfigDistributor::Rejoin()
+{
+  mImpl->majority = false;
+  mImpl->ready = false;
+}
+
+const Configuration* ConfigDistributor::Current() const noexcept
+{
+  return mImpl->current ? &*mImpl->current : nullptr;
+}
+
+bool ConfigDistributor::Ready() const noexcept
+{
+  return mImpl->ready;
+}
+
+} // namespace bronzedeal::process
--- a/src/process/lease_holder.cpp
+++ b/src/process/lease_holder.cpp
@@ -408,6 +408,8 @@
       if (!aLease.grants.empty()) {
         Release(aSlice, aLease, WorkEnded(aSlice, aNow), aNow);
         aLease.grants.clear();
+        // A grant that arrives after the release no longer stands.
+        aLease.rounds.clear();
         aLease.nextRequest =
           aNow + Jitter(milliseconds(100), milliseconds(300));
         return;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -60,6 +60,7 @@
   /// Set when a later list added the entry to the first one.
   std::optional<TimePoint> addedAt;
   std::optional<TimePoint> heard;
+  std::optional<TimePoint> reported;
   std::optional<TimePoint> tried;
   std::optional<TimePoint> triedBefore;
   TimePoint suspectSince{};
@@ -107,11 +108,11 @@
     return false;
   }
   if (aContact.tried >= aContact.roster) {
-    return aContact.heard * 2 > aContact.roster;
+    return aContact.reported * 2 > aContact.roster;
   }
-  return aContact.heard * 2 > aContact.roster ||
+  return aContact.reported * 2 > aContact.roster ||
          (aContact.tried >= kSampleForMajority &&
-          aContact.heard * 2 > aContact.tried);
+          aContact.reported * 2 > aContact.tried);
 }
 
 struct Membership::Impl
@@ -138,6 +139,9 @@
   bool empty = true;
   std::uint64_t epoch = 1;
   std::uint64_t candidateEpoch = 1;
+  /// The records of `entries` as of `copiedEpoch`.
+  std::vector<Member> copies;
+  std::uint64_t copiedEpoch = 0;
   std::vector<AuditNote> notes;
   /// Bytes of the message that is being composed.
   std::size_t used = 0;
@@ -238,6 +242,7 @@
       aEntry.suspectSince = aNow;
     }
     aEntry.left = aEntry.left || aStatus == MemberStatus::Leaving;
+    ++epoch;
     ++candidateEpoch;
   }
 
@@ -263,6 +268,7 @@
     aEntry.left = false;
     aEntry.fullLeft = 0;
     aEntry.progressLeft = 0;
+    aEntry.reported.reset();
     Rekey(static_cast<std::size_t>(&aEntry - entries.data()));
     ++epoch;
     ++candidateEpoch;
@@ -811,6 +817,7 @@
   impl.missing.clear();
   impl.Own().record.rosterRevision = aRevision;
   impl.ChangeOwnProgress();
+  ++impl.epoch;
   ++impl.candidateEpoch;
 }
 
@@ -848,6 +855,11 @@
   }
   for (const auto& it : aMessage.records) {
     impl.Merge(it, aNow);
+    if (it.id == aFrom && it.incarnation == aIncarnation &&
+        (aMessage.kind == GossipKind::Ping ||
+         aMessage.kind == GossipKind::Ack)) {
+      impl.Lookup(aFrom)->reported = aNow;
+    }
   }
   if (aMessage.kind != GossipKind::Sync) {
     for (const auto& it : aMessage.progress) {
@@ -929,12 +941,21 @@
 
 std::vector<Member> Membership::Members() const
 {
-  std::vector<Member> members;
-  members.reserve(mImpl->entries.size());
-  for (const auto& it : mImpl->entries) {
-    members.push_back(it.record);
+  const auto records = Records();
+  return { records.begin(), records.end() };
+}
+
+std::span<const Member> Membership::Records() const
+{
+  auto& impl = *mImpl;
+  if (impl.copiedEpoch != impl.epoch) {
+    impl.copiedEpoch = impl.epoch;
+    impl.copies.resize(impl.entries.size());
+    for (std::size_t i = 0; i < impl.entries.size(); ++i) {
+      impl.copies[i] = impl.entries[i].record;
+    }
   }
-  return members;
+  return impl.copies;
 }
 
 std::vector<Candidate> Membership::Candidates() const
@@ -995,6 +1016,7 @@
     if (it.record.id == impl.self.id) {
       ++contact.tried;
       ++contact.heard;
+      ++contact.reported;
       continue;
     }
     const auto triedAt = [&](const std::optional<TimePoint>& aTime) {
@@ -1003,6 +1025,7 @@
     };
     const bool heard = it.heard && aNow - *it.heard <= window;
     contact.heard += heard ? 1 : 0;
+    contact.reported += it.reported && aNow - *it.reported <= window ? 1 : 0;
     contact.tried +=
       heard || triedAt(it.tried) || triedAt(it.triedBefore) ? 1 : 0;
   }
@@ -1016,6 +1039,7 @@
 {
   for (auto& it : mImpl->entries) {
     it.heard.reset();
+    it.reported.reset();
     it.tried.reset();
     it.triedBefore.reset();
   }
