--- /dev/null
+++ b/include/bronzedeal/daemon/fleet_view.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "bronzedeal/process/messages.hpp"
+#include "bronzedeal/process/roster.hpp"
+#include "bronzedeal/types.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace bronzedeal::daemon {
+
+/// What the request path needs to know of the fleet, as the control plane saw
+/// it last. Immutable.
+struct FleetView
+{
+  InstanceId self;
+  Incarnation incarnation = 0;
+  /// A configuration is in force and enough peers have been heard from.
+  bool ready = false;
+  bool fenced = true;
+  bool leaving = false;
+  RosterRevision rosterRevision = 0;
+  std::map<SliceId, InstanceId> owners;
+  std::vector<process::Member> members;
+  std::set<ServerId> leavingServers;
+
+  /// `nullptr` when no live member announces the slice.
+  [[nodiscard]] const InstanceId* OwnerOf(const SliceId& aSlice) const
+  {
+    const auto it = owners.find(aSlice);
+    return it == owners.end() ? nullptr : &it->second;
+  }
+
+  [[nodiscard]] const process::Member* Find(const InstanceId& aId) const
+  {
+    for (const auto& it : members) {
+      if (it.id == aId) {
+        return &it;
+      }
+    }
+    return nullptr;
+  }
+};
+
+/// The latest view (read-copy-update). Thread safe.
+class FleetViewHolder
+{
+public:
+  [[nodiscard]] std::shared_ptr<const FleetView> Load() const noexcept
+  {
+    return mView.load();
+  }
+  void Store(std::shared_ptr<const FleetView> aView) noexcept
+  {
+    mView.store(std::move(aView));
+  }
+
+private:
+  std::atomic<std::shared_ptr<const FleetView>> mView{
+    std::make_shared<const FleetView>()
+  };
+};
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/include/bronzedeal/daemon/owner_executor.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "bronzedeal/daemon/lease_table.hpp"
+#include "bronzedeal/request/attempt.hpp"
+#include "bronzedeal/request/quarantine.hpp"
+#include "bronzedeal/types.hpp"
+#include "bronzedeal/version/snapshot.hpp"
+#include "bronzedeal/version/work_ledger.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace bronzedeal::daemon {
+
+/// What the attempts of one batch share.
+struct AttemptContext
+{
+  ConfigVersion configVersion = 0;
+  IndexVersion indexVersion = 0;
+  TimePoint deadline;
+  Labels caller;
+  Labels request;
+  std::shared_ptr<const std::string> payload;
+  request::Fingerprint fingerprint{};
+  bool nonRepeatable = false;
+  std::string selector;
+};
+
+/// Names an attempt: the instance that decided on it and its number there.
+struct AttemptKey
+{
+  InstanceId origin;
+  Incarnation incarnation = 0;
+  request::AttemptId attempt = 0;
+
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+/// One sub-request for a server that this instance owns.
+struct OwnerAttempt
+{
+  AttemptKey key;
+  std::shared_ptr<const AttemptContext> context;
+  ShardId shard;
+  ServerId server;
+  bool hedge = false;
+};
+
+struct OwnerResult
+{
+  ResultCode code = ResultCode::Internal;
+  /// Body of the server's answer; empty unless the code is Ok or
+  /// ShardVersionMissing.
+  std::string body;
+  request::ServerLoad load;
+  Duration elapsed{};
+};
+
+/// Executes sub-requests on the backend servers whose slices this instance
+/// holds. It is the only sender to them, so slots, connections and the cold
+/// allowance are exact here. Thread safe.
+class OwnerExecutor
+{
+public:
+  /// Called once, from any thread, never inside `Execute`'s locks.
+  using Handler = std::function<void(OwnerResult)>;
+
+  struct Hooks
+  {
+    /// State of a content, without a renewal of its quarantine.
+    std::function<request::ContentState(const request::Fingerprint&)>
+      contentState;
+    /// The server lost its connections with these contents in flight.
+    std::function<void(std::span<const request::Fingerprint>, const ServerId&)>
+      crashed;
+    /// The server's allowance fell back to its cold value, with the reason.
+    std::function<void(const ServerId&, std::string_view)> turnedCold;
+  };
+
+  OwnerExecutor(boost::asio::io_context& aContext,
+                const version::SnapshotHolder& aSnapshots,
+                const LeaseTable& aLeases,
+                version::WorkLedger& aLedger,
+                bool aColdRamp,
+                Hooks aHooks);
+  ~OwnerExecutor();
+  OwnerExecutor(const OwnerExecutor&) = delete;
+  OwnerExecutor& operator=(const OwnerExecutor&) = delete;
+
+  void Execute(OwnerAttempt aAttempt, Handler aHandler);
+  /// Drops a queued attempt or cancels one that was sent.
+  void Cancel(const AttemptKey& aKey);
+
+  /// Follows the snapshot in force and the lease table: opens pools for servers
+  /// that may be sent to, refuses what is queued for others and closes their
+  /// pools when their work has ended.
+  void Refresh(TimePoint aNow);
+
+  /// Servers that the published list names as leaving; they get no new work.
+  void SetLeaving(std::set<ServerId> aServers);
+
+  /// No attempt on the slice is queued, in flight or unconfirmed.
+  [[nodiscard]] bool Idle(const SliceId& aSlice) const;
+  /// Attempts in flight or unconfirmed, over all servers.
+  [[nodiscard]] std::size_t InFlight() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace bronzedeal::daemon
--- a/include/bronzedeal/process/membership.hpp
+++ b/include/bronzedeal/process/membership.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bronzedeal/process/audit_trail.hpp"
 #include "bronzedeal/process/messages.hpp"
 #include "bronzedeal/process/roster.hpp"
 
@@ -28,8 +29,15 @@
   std::size_t pushFanout = 2;
   Duration pushInterval = milliseconds(100);
   std::size_t piggybackBytes = 1200;
-  /// Each update is sent at most this factor times log2 of the roster size.
-  double retransmitFactor = 2.0;
+  /// Each update is sent this many times by each member that learns it. Push
+  /// gossip with k sends misses a member with probability e^-k, and the
+  /// refreshed records of pings reach those.
+  unsigned retransmits = 6;
+  /// Bytes of each ping and acknowledgement that refresh records in turn.
+  std::size_t refreshBytes = 160;
+  /// An unknown record that progress entries refer to is asked for after this
+  /// time, when gossip has not brought it.
+  Duration syncDelay = milliseconds(500);
   std::uint64_t seed = 1;
 };
 
@@ -43,6 +51,9 @@
   std::size_t tried = 0;
   /// Entries that a message came from within the window, self included.
   std::size_t heard = 0;
+  /// Entries that sent their own record within the window, self included; only
+  /// these have stated their configuration version.
+  std::size_t reported = 0;
 };
 
 /// True when the instance reaches at least half of the roster. With a partial
@@ -50,8 +61,8 @@
 /// well-connected instance is not fenced by chance.
 [[nodiscard]] bool ReachesHalf(const Contact& aContact) noexcept;
 
-/// True when enough members were contacted to rejoin: more than half of the
-/// roster, or of a sample of at least 15.
+/// True when enough members have reported to join or rejoin: more than half of
+/// the roster, or of a sample of at least 15.
 [[nodiscard]] bool ReachesMajority(const Contact& aContact) noexcept;
 
 /// What an instance announces about itself.
@@ -123,6 +134,8 @@
   [[nodiscard]] const Member* Find(const InstanceId& aId) const;
   /// All roster members, the own instance included, sorted by id.
   [[nodiscard]] std::vector<Member> Members() const;
+  /// The same without a copy; valid until the next call that is not const.
+  [[nodiscard]] std::span<const Member> Records() const;
   /// Members that may own slices: heard of, alive or suspect, not fenced, not
   /// leaving by their own record or by the roster.
   [[nodiscard]] std::vector<Candidate> Candidates() const;
@@ -131,10 +144,13 @@
   /// Rises with any change of any record.
   [[nodiscard]] std::uint64_t Epoch() const noexcept;
 
+  /// Status changes and refused senders since the last call.
+  [[nodiscard]] std::vector<AuditNote> TakeNotes();
+
   [[nodiscard]] RosterRevision Revision() const noexcept;
   [[nodiscard]] std::span<const RosterEntry> Roster() const noexcept;
 
-  /// Contacts within the last 3 s.
+  /// Contacts within the last 3 s; all zero before the first roster.
   [[nodiscard]] Contact ContactSince(TimePoint aNow) const;
   /// Forgets earlier contacts; used after a pause, to rejoin.
   void ForgetContacts();
--- /dev/null
+++ b/src/daemon/operation_service.cpp
@@ -0,0 +1,506 @@
+#include "bronzedeal/daemon/operation_service.hpp"
+
+#include "bronzedeal/peer.pb.h"
+#include "bronzedeal/request/caller_request.hpp"
+#include "bronzedeal/request/ticket_table.hpp"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <functional>
+#include <mutex>
+#include <unordered_map>
+
+namespace bronzedeal::daemon {
+
+using namespace request;
+using process::Counter;
+using version::WorkKind;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+using OutcomeHandler = std::function<void(TicketOutcome)>;
+
+// An issuer answers by the deadline; a forwarded operation waits this much
+// longer for the message.
+constexpr milliseconds kForwardGrace{ 300 };
+
+/// The field `operation_result` of a server's answer; the whole text when it
+/// has none.
+std::string OperationResult(const std::string& aBody)
+{
+  boost::system::error_code ec;
+  const auto value = boost::json::parse(aBody, ec);
+  const auto* object = ec ? nullptr : value.if_object();
+  const auto* result =
+    object == nullptr ? nullptr : object->if_contains("operation_result");
+  if (result != nullptr) {
+    return boost::json::serialize(*result);
+  }
+  return ec ? std::string{} : aBody;
+}
+
+} // namespace
+
+struct OperationService::Impl
+{
+  /// An operation that this instance runs.
+  struct Running
+  {
+    OperationRequest request;
+    Fingerprint fingerprint{};
+    TimePoint deadline;
+    std::vector<version::Replica> replicas;
+    std::shared_ptr<const AttemptContext> context;
+    version::WorkLedger::Token token;
+    /// The latest refusal; the outcome when no replica is left.
+    ResultCode refusal = ResultCode::NotRunNoOwner;
+  };
+  using RunningPtr = std::shared_ptr<Running>;
+  /// An operation that another instance was asked to run.
+  struct Forwarded
+  {
+    InstanceId peer;
+    TimePoint expiresAt;
+    OutcomeHandler handler;
+  };
+
+  Impl(const process::Settings& aSettings,
+       Incarnation aIncarnation,
+       const version::SnapshotHolder& aSnapshots,
+       const FleetViewHolder& aFleet,
+       AttemptRouter& aRouter,
+       QueryService& aQueries,
+       connection::PeerTransport& aTransport,
+       version::WorkLedger& aLedger,
+       process::Metrics& aMetrics)
+    : settings(aSettings)
+    , incarnation(aIncarnation)
+    , snapshots(aSnapshots)
+    , fleet(aFleet)
+    , router(aRouter)
+    , queries(aQueries)
+    , transport(aTransport)
+    , ledger(aLedger)
+    , metrics(aMetrics)
+    , tickets(aSettings.instance, aIncarnation)
+  {
+  }
+
+  void Handle(const std::string& aBody,
+              bool aMayForward,
+              std::function<void(Error)> aInvalid,
+              OutcomeHandler aHandler);
+  void Redeem(OperationRequest aRequest, OutcomeHandler aHandler);
+  void Forward(const OperationRequest& aRequest,
+               const std::string& aBody,
+               const OutcomeHandler& aHandler);
+  void Start(OperationRequest aRequest);
+  void Attempt(const RunningPtr& aRunning);
+  void Finish(std::uint64_t aNumber, TicketOutcome aOutcome);
+  void Answer(const std::vector<TicketTable::WaiterId>& aWaiters,
+              const TicketOutcome& aOutcome);
+  void EndForwards(const std::function<bool(const Forwarded&)>& aEnds);
+
+  const process::Settings& settings;
+  Incarnation incarnation;
+  const version::SnapshotHolder& snapshots;
+  const FleetViewHolder& fleet;
+  AttemptRouter& router;
+  QueryService& queries;
+  connection::PeerTransport& transport;
+  version::WorkLedger& ledger;
+  process::Metrics& metrics;
+
+  mutable std::mutex mutex;
+  TicketTable tickets;
+  TicketTable::WaiterId nextWaiter = 1;
+  std::unordered_map<TicketTable::WaiterId, OutcomeHandler> waiters;
+  AttemptId nextAttempt = QueryService::kFirstOtherAttempt;
+  std::unordered_map<AttemptId, RunningPtr> attempts;
+  std::uint64_t nextForward = 1;
+  std::unordered_map<std::uint64_t, Forwarded> forwards;
+};
+
+void OperationService::Impl::Handle(const std::string& aBody,
+                                    bool aMayForward,
+                                    std::function<void(Error)> aInvalid,
+                                    OutcomeHandler aHandler)
+{
+  OperationRequest request;
+  const bool parsed = boost::leaf::try_handle_all(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_ASSIGN(request, ParseOperation(aBody));
+      return true;
+    },
+    [&](const Error& aError) {
+      aInvalid(aError);
+      return false;
+    },
+    [&] {
+      aInvalid({ ResultCode::Internal, "unknown error", {} });
+      return false;
+    });
+  if (!parsed) {
+    return;
+  }
+  const bool own = request.ticket.instance == settings.instance;
+  if (own && request.ticket.incarnation == incarnation) {
+    Redeem(std::move(request), std::move(aHandler));
+  } else if (own || !aMayForward) {
+    aHandler({ ResultCode::OutcomeUnknownIssuerGone, {} });
+  } else {
+    Forward(request, aBody, aHandler);
+  }
+}
+
+void OperationService::Impl::Redeem(OperationRequest aRequest,
+                                    OutcomeHandler aHandler)
+{
+  const auto fingerprint =
+    FingerprintOf(aRequest.request.at("kind"), aRequest.operation);
+  const auto ticket = aRequest.ticket;
+  TicketTable::Use use;
+  {
+    const std::lock_guard lock(mutex);
+    const auto waiter = nextWaiter++;
+    use = tickets.Redeem(ticket, fingerprint, waiter, SteadyClock::now());
+    if (!std::holds_alternative<TicketTable::Answer>(use)) {
+      // The first use waits in the same way as a duplicate.
+      waiters.emplace(std::holds_alternative<TicketTable::Run>(use)
+                        ? ~ticket.number
+                        : waiter,
+                      std::move(aHandler));
+    }
+  }
+  if (const auto* answer = std::get_if<TicketTable::Answer>(&use)) {
+    aHandler(answer->outcome);
+  } else if (std::holds_alternative<TicketTable::Run>(use)) {
+    Start(std::move(aRequest));
+  }
+}
+
+void OperationService::Impl::Start(OperationRequest aRequest)
+{
+  const auto number = aRequest.ticket.number;
+  const auto serving = CheckServing(*fleet.Load());
+  if (serving != ResultCode::Ok) {
+    Finish(number, { serving, {} });
+    return;
+  }
+  const auto snapshot = snapshots.Load();
+  const auto plan = snapshot->SharedPlan(aRequest.caller, aRequest.request);
+  if (plan->code != ResultCode::Ok) {
+    Finish(number, { plan->code, {} });
+    return;
+  }
+  const auto shard = std::find_if(
+    plan->shards.begin(), plan->shards.end(), [&](const auto& aRoute) {
+      return aRoute.shard == aRequest.shard;
+    });
+  if (shard == plan->shards.end()) {
+    Finish(number, { ResultCode::UnknownShard, {} });
+    return;
+  }
+  auto running = std::make_shared<Running>();
+  running->fingerprint =
+    FingerprintOf(aRequest.request.at("kind"), aRequest.operation);
+  running->deadline = SteadyClock::now() + aRequest.deadline;
+  running->replicas = shard->replicas;
+  if (queries.AdmitContent(running->fingerprint) == ContentState::Quarantined) {
+    Finish(number, { ResultCode::NotRunQuarantined, {} });
+    return;
+  }
+  auto context = std::make_shared<AttemptContext>();
+  context->configVersion = plan->configVersion;
+  context->indexVersion = plan->indexVersion;
+  context->deadline = running->deadline;
+  context->caller = aRequest.caller;
+  context->request = aRequest.request;
+  context->payload = std::make_shared<const std::string>(aRequest.operation);
+  context->fingerprint = running->fingerprint;
+  context->nonRepeatable = true;
+  running->context = std::move(context);
+  running->token =
+    ledger.Begin(plan->configVersion, {}, {}, WorkKind::Admitted);
+  running->request = std::move(aRequest);
+  Attempt(running);
+}
+
+void OperationService::Impl::Attempt(const RunningPtr& aRunning)
+{
+  const auto number = aRunning->request.ticket.number;
+  if (aRunning->replicas.empty()) {
+    Finish(number, { aRunning->refusal, {} });
+    return;
+  }
+  if (SteadyClock::now() >= aRunning->deadline) {
+    Finish(number, { ResultCode::NotRunDeadline, {} });
+    return;
+  }
+  const auto n = queries.ChooseReplica(aRunning->replicas);
+  const auto replica = aRunning->replicas[n];
+  aRunning->replicas.erase(aRunning->replicas.begin() +
+                           static_cast<std::ptrdiff_t>(n));
+  AttemptId attempt = 0;
+  {
+    const std::lock_guard lock(mutex);
+    attempt = nextAttempt++;
+    attempts.emplace(attempt, aRunning);
+  }
+  const RoutedAttempt routed{ attempt,
+                              aRunning->request.shard,
+                              replica.server,
+                              replica.slice,
+                              false };
+  router.Send(aRunning->context, { &routed, 1 }, true);
+}
+
+void OperationService::Impl::Finish(std::uint64_t aNumber,
+                                    TicketOutcome aOutcome)
+{
+  std::vector<TicketTable::WaiterId> waiting;
+  {
+    const std::lock_guard lock(mutex);
+    waiting = tickets.Complete(aNumber, aOutcome, SteadyClock::now());
+  }
+  waiting.push_back(~aNumber);
+  Answer(waiting, aOutcome);
+}
+
+void OperationService::Impl::Answer(
+  const std::vector<TicketTable::WaiterId>& aWaiters,
+  const TicketOutcome& aOutcome)
+{
+  for (const auto it : aWaiters) {
+    OutcomeHandler handler;
+    {
+      const std::lock_guard lock(mutex);
+      auto node = waiters.extract(it);
+      if (node.empty()) {
+        continue;
+      }
+      handler = std::move(node.mapped());
+    }
+    handler(aOutcome);
+  }
+}
+
+void OperationService::Impl::Forward(const OperationRequest& aRequest,
+                                     const std::string& aBody,
+                                     const OutcomeHandler& aHandler)
+{
+  const auto& issuer = aRequest.ticket.instance;
+  const auto view = fleet.Load();
+  const auto* member = view->Find(issuer);
+  // A record of another, later incarnation proves that the issuer has ended.
+  if (member == nullptr ||
+      member->incarnation > aRequest.ticket.incarnation) {
+    aHandler({ ResultCode::OutcomeUnknownIssuerGone, {} });
+    return;
+  }
+  peer::Envelope envelope;
+  auto& forward = *envelope.mutable_ticket_forward();
+  {
+    const std::lock_guard lock(mutex);
+    const auto id = nextForward++;
+    forward.set_forward_id(id);
+    forwards.emplace(id,
+                     Forwarded{ issuer,
+                                SteadyClock::now() + aRequest.deadline +
+                                  kForwardGrace,
+                                aHandler });
+  }
+  const auto id = forward.forward_id();
+  forward.set_ticket(ToString(aRequest.ticket));
+  forward.set_body(aBody);
+  if (!transport.Send(issuer, std::move(envelope))) {
+    EndForwards([&](const Forwarded& aEntry) {
+      return &aEntry == &forwards.at(id);
+    });
+  }
+}
+
+void OperationService::Impl::EndForwards(
+  const std::function<bool(const Forwarded&)>& aEnds)
+{
+  std::vector<OutcomeHandler> ended;
+  {
+    const std::lock_guard lock(mutex);
+    for (auto it = forwards.begin(); it != forwards.end();) {
+      if (aEnds(it->second)) {
+        ended.push_back(std::move(it->second.handler));
+        it = forwards.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+  for (const auto& it : ended) {
+    it({ ResultCode::OutcomeUnknown, {} });
+  }
+}
+
+OperationService::OperationService(boost::asio::io_context& /*aContext*/,
+                                   const process::Settings& aSettings,
+                                   Incarnation aIncarnation,
+                                   const version::SnapshotHolder& aSnapshots,
+                                   const FleetViewHolder& aFleet,
+                                   AttemptRouter& aRouter,
+                                   QueryService& aQueries,
+                                   connection::PeerTransport& aTransport,
+                                   version::WorkLedger& aLedger,
+                                   process::Metrics& aMetrics)
+  : mImpl(std::make_unique<Impl>(aSettings,
+                                 aIncarnation,
+                                 aSnapshots,
+                                 aFleet,
+                                 aRouter,
+                                 aQueries,
+                                 aTransport,
+                                 aLedger,
+                                 aMetrics))
+{
+}
+
+OperationService::~OperationService() = default;
+
+void OperationService::HandleTicket(const std::string& aBody,
+                                    const HttpReply& aReply)
+{
+  const auto view = mImpl->fleet.Load();
+  auto serving = CheckServing(*view);
+  if (serving == ResultCode::Ok && view->leaving) {
+    // The ticket could not be used before this instance is gone.
+    serving = ResultCode::NotRunLeaving;
+  }
+  if (serving != ResultCode::Ok) {
+    aReply(ErrorResponse(serving, Describe(serving).meaning));
+    return;
+  }
+  boost::leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_CHECK(ParseTicketRequest(aBody));
+      const std::lock_guard lock(mImpl->mutex);
+      BOOST_LEAF_AUTO(ticket, mImpl->tickets.Issue(SteadyClock::now()));
+      const auto valid = std::chrono::duration_cast<milliseconds>(
+        TicketTable::Options{}.validity);
+      aReply({ 200, WriteTicket(ticket, valid) });
+      return {};
+    },
+    [&](const Error& aError) {
+      aReply({ Describe(aError.code).httpStatus, WriteError(aError) });
+    },
+    [&] { aReply(ErrorResponse(ResultCode::Internal, "unknown error")); });
+}
+
+void OperationService::HandleOperation(const std::string& aBody,
+                                       HttpReply aReply)
+{
+  mImpl->Handle(
+    aBody,
+    true,
+    [aReply](const Error& aError) {
+      aReply({ Describe(aError.code).httpStatus, WriteError(aError) });
+    },
+    [this, aReply](const TicketOutcome& aOutcome) {
+      switch (OutcomeOf(aOutcome.code)) {
+        case Outcome::Ran:
+          mImpl->metrics.Add(Counter::OperationsRan);
+          break;
+        case Outcome::NotRun:
+          mImpl->metrics.Add(Counter::OperationsNotRun);
+          break;
+        case Outcome::Unknown:
+          mImpl->metrics.Add(Counter::OperationsUnknown);
+          break;
+      }
+      aReply({ Describe(aOutcome.code).httpStatus, WriteOutcome(aOutcome) });
+    });
+}
+
+void OperationService::OnResult(AttemptId aAttempt, OwnerResult aResult)
+{
+  Impl::RunningPtr running;
+  {
+    const std::lock_guard lock(mImpl->mutex);
+    auto node = mImpl->attempts.extract(aAttempt);
+    if (node.empty()) {
+      return;
+    }
+    running = std::move(node.mapped());
+  }
+  const auto number = running->request.ticket.number;
+  if (aResult.code == ResultCode::Ok) {
+    mImpl->queries.NoteSuccess(running->fingerprint);
+    mImpl->Finish(number, { ResultCode::Ok, OperationResult(aResult.body) });
+  } else if (IsNotRun(aResult.code)) {
+    running->refusal = aResult.code;
+    mImpl->Attempt(running);
+  } else {
+    mImpl->Finish(number, { ResultCode::OutcomeUnknown, {} });
+  }
+}
+
+void OperationService::OnForward(const InstanceId& aFrom,
+                                 const peer::TicketForward& aForward)
+{
+  const auto reply = [this, from = aFrom, id = aForward.forward_id()](
+                       ResultCode aCode, const std::string& aResult) {
+    peer::Envelope envelope;
+    auto& outcome = *envelope.mutable_ticket_outcome();
+    outcome.set_forward_id(id);
+    outcome.set_code(static_cast<int>(aCode));
+    outcome.set_result(aResult);
+    mImpl->transport.Send(from, std::move(envelope));
+  };
+  mImpl->Handle(
+    aForward.body(),
+    false,
+    [reply](const Error& aError) { reply(aError.code, {}); },
+    [reply](const TicketOutcome& aOutcome) {
+      reply(aOutcome.code, aOutcome.result);
+    });
+}
+
+void OperationService::OnOutcome(const peer::TicketOutcome& aOutcome)
+{
+  OutcomeHandler handler;
+  {
+    const std::lock_guard lock(mImpl->mutex);
+    auto node = mImpl->forwards.extract(aOutcome.forward_id());
+    if (node.empty()) {
+      return;
+    }
+    handler = std::move(node.mapped().handler);
+  }
+  handler({ static_cast<ResultCode>(aOutcome.code()), aOutcome.result() });
+}
+
+void OperationService::OnBreak(const InstanceId& aPeer)
+{
+  mImpl->EndForwards(
+    [&](const Impl::Forwarded& aEntry) { return aEntry.peer == aPeer; });
+}
+
+void OperationService::Expire(TimePoint aNow)
+{
+  std::vector<TicketTable::WaiterId> waiting;
+  {
+    const std::lock_guard lock(mImpl->mutex);
+    waiting = mImpl->tickets.Expire(aNow);
+  }
+  mImpl->Answer(waiting, { ResultCode::OutcomeUnknown, {} });
+  mImpl->EndForwards(
+    [&](const Impl::Forwarded& aEntry) { return aEntry.expiresAt <= aNow; });
+}
+
+std::size_t OperationService::InProgress() const
+{
+  const std::lock_guard lock(mImpl->mutex);
+  return mImpl->tickets.Running() + mImpl->forwards.size();
+}
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/src/daemon/server_agent.cpp
@@ -0,0 +1,595 @@
+#include "server_agent.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace bronzedeal::daemon {
+
+using connection::AttemptEnd;
+using connection::Outcome;
+using connection::SendError;
+using connection::SendResult;
+using version::WorkKind;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+// A server that says that it drains gets no work for this long; the published
+// list names it as leaving within that time.
+constexpr std::chrono::seconds kDrainingFor{ 3 };
+// Assumed until the server has answered a few times.
+constexpr milliseconds kDefaultServiceTime{ 10 };
+
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusVersionMissing = 409;
+constexpr unsigned kStatusCancelled = 499;
+constexpr unsigned kStatusUnavailable = 503;
+
+/// True for an answer that states that the server did not run the request.
+bool RefusedByServer(const SendResult& aResult)
+{
+  return aResult.status == kStatusUnavailable &&
+         aResult.Header("x-outcome") == "not-run";
+}
+
+ResultCode CodeOfAnswer(const SendResult& aResult, bool aNonRepeatable)
+{
+  if (aResult.status == kStatusOk) {
+    return ResultCode::Ok;
+  }
+  if (RefusedByServer(aResult)) {
+    return ResultCode::NotRunShed;
+  }
+  if (aResult.status == kStatusVersionMissing) {
+    // The server looked the version up before it did anything.
+    return aNonRepeatable ? ResultCode::NotRunShed
+                          : ResultCode::ShardVersionMissing;
+  }
+  if (aNonRepeatable) {
+    return ResultCode::OutcomeUnknown;
+  }
+  return aResult.status == kStatusCancelled ? ResultCode::ShardCancelled
+                                            : ResultCode::ShardBadAnswer;
+}
+
+ResultCode CodeOfError(const SendResult& aResult, bool aNonRepeatable)
+{
+  if (!aResult.byteWritten) {
+    switch (aResult.error) {
+      case SendError::CancelledUnsent:
+      case SendError::Cancelled:
+        return ResultCode::NotRunCancelled;
+      case SendError::NoConnection:
+      case SendError::Timeout:
+        return ResultCode::NotRunDeadline;
+      case SendError::PoolClosed:
+        return ResultCode::NotRunNoOwner;
+      default:
+        return ResultCode::NotRunUnreachable;
+    }
+  }
+  if (aNonRepeatable) {
+    return ResultCode::OutcomeUnknown;
+  }
+  switch (aResult.error) {
+    case SendError::Timeout:
+      return ResultCode::ShardTimeout;
+    case SendError::Cancelled:
+      return ResultCode::ShardCancelled;
+    case SendError::BadAnswer:
+      return ResultCode::ShardBadAnswer;
+    default:
+      return ResultCode::ShardServerLost;
+  }
+}
+
+Outcome OutcomeOfAnswer(const SendResult& aResult)
+{
+  if (RefusedByServer(aResult)) {
+    return Outcome::Refused;
+  }
+  return aResult.status == kStatusCancelled ? Outcome::Cancelled
+                                            : Outcome::Answered;
+}
+
+} // namespace
+
+ServerAgent::ServerAgent(AgentEnvironment& aEnvironment,
+                         const version::ServerInfo& aServer,
+                         TimePoint aNow)
+  : mEnvironment(aEnvironment)
+  , mServer(aServer)
+  , mLimiter(LimiterOptions(), aNow)
+  , mQueue(aEnvironment.snapshots.Load()->Content().limits.queuePerServer)
+{
+}
+
+connection::LimiterOptions ServerAgent::LimiterOptions() const
+{
+  return { .slots = mServer.limits.slots,
+           .coldAllowance = mServer.limits.coldAllowance,
+           .warmCompletions = mServer.limits.warmCompletions,
+           .ramp = mEnvironment.coldRamp };
+}
+
+connection::ServerPoolOptions ServerAgent::PoolOptions()
+{
+  connection::ServerPoolOptions options;
+  options.address = mServer.address;
+  // One connection per slot, one for each unconfirmed attempt of a slot, and
+  // two for cancellations.
+  options.maxConnections =
+    std::min(mServer.limits.connections, 2 * mServer.limits.slots + 2);
+  options.warmConnections =
+    std::min(options.maxConnections, mServer.limits.slots + 1);
+  options.unconfirmedLimit = mMaxSubrequest;
+  options.seed = std::hash<std::string>{}(mServer.id);
+  const auto weak = weak_from_this();
+  options.connected = [weak] {
+    if (const auto self = weak.lock()) {
+      const std::lock_guard lock(self->mMutex);
+      self->mLimiter.Connected(SteadyClock::now());
+    }
+  };
+  options.lost = [weak](bool /*aInFlight*/) {
+    if (const auto self = weak.lock()) {
+      self->OnLost();
+    }
+  };
+  return options;
+}
+
+connection::ServiceEstimate ServerAgent::Estimate() const
+{
+  return { mLimiter.Median().value_or(kDefaultServiceTime),
+           mLimiter.Allowance() };
+}
+
+request::ServerLoad ServerAgent::Load() const
+{
+  return { .inFlight = mLimiter.InFlight(),
+           .queued = static_cast<std::uint32_t>(mQueue.size()),
+           .allowance = mLimiter.Allowance(),
+           .slots = mLimiter.Slots(),
+           .leaving = mLimiter.Draining() };
+}
+
+ResultCode ServerAgent::Check(const Attempt& aAttempt, TimePoint aNow) const
+{
+  const auto& context = *aAttempt.request.context;
+  if (!mEnvironment.leases.MaySend(mServer.slice, aNow)) {
+    return ResultCode::NotRunNoOwner;
+  }
+  if (aNow >= context.deadline) {
+    return ResultCode::NotRunDeadline;
+  }
+  const auto snapshot = mEnvironment.snapshots.Load();
+  if (!snapshot->Permits(context.caller,
+                         context.request,
+                         aAttempt.request.shard,
+                         aAttempt.request.server,
+                         context.indexVersion)) {
+    return ResultCode::NotRunWithdrawn;
+  }
+  if (mEnvironment.hooks.contentState(context.fingerprint) ==
+      request::ContentState::Quarantined) {
+    return ResultCode::NotRunQuarantined;
+  }
+  return ResultCode::Ok;
+}
+
+void ServerAgent::Execute(OwnerAttempt aAttempt,
+                          OwnerExecutor::Handler aHandler)
+{
+  Deferred deferred;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto now = SteadyClock::now();
+    auto attempt = std::make_shared<Attempt>();
+    attempt->request = std::move(aAttempt);
+    attempt->handler = std::move(aHandler);
+    attempt->receivedAt = now;
+    const auto& context = *attempt->request.context;
+    // The count begins before the check, so that a report of "complete" never
+    // misses work that passed the check.
+    attempt->token = mEnvironment.ledger.Begin(context.configVersion,
+                                               context.selector,
+                                               mServer.failureDomain,
+                                               WorkKind::Queued);
+    const auto code = mLimiter.Draining() ? ResultCode::NotRunLeaving
+                                          : Check(*attempt, now);
+    if (code != ResultCode::Ok) {
+      Refuse(attempt, code, deferred);
+    } else {
+      const auto id = mNextId++;
+      std::vector<connection::QueueEntry> notRun;
+      mQueued.emplace(id, attempt);
+      mByKey.emplace(attempt->request.key, id);
+      mQueue.Push({ id, context.deadline, now }, Estimate(), now, notRun);
+      RefuseQueued(notRun, ResultCode::NotRunOverloaded, deferred);
+      Pump(now, deferred);
+    }
+  }
+  Run(std::move(deferred));
+}
+
+void ServerAgent::Refuse(const AttemptPtr& aAttempt,
+                         ResultCode aCode,
+                         Deferred& aDeferred)
+{
+  aAttempt->token.End();
+  aDeferred.results.emplace_back(std::move(aAttempt->handler),
+                                 OwnerResult{ aCode, {}, Load(), {} });
+}
+
+void ServerAgent::RefuseQueued(
+  const std::vector<connection::QueueEntry>& aEntries,
+  ResultCode aCode,
+  Deferred& aDeferred)
+{
+  for (const auto& it : aEntries) {
+    const auto found = mQueued.find(it.id);
+    if (found == mQueued.end()) {
+      continue;
+    }
+    mByKey.erase(found->second->request.key);
+    Refuse(found->second, aCode, aDeferred);
+    mQueued.erase(found);
+  }
+}
+
+void ServerAgent::Pump(TimePoint aNow, Deferred& aDeferred)
+{
+  std::vector<connection::QueueEntry> notRun;
+  while (mQueue.size() > 0 && mLimiter.TryAcquire(aNow)) {
+    const auto entry = mQueue.Pop(Estimate(), aNow, notRun);
+    if (!entry) {
+      mLimiter.Complete(Outcome::NotSent, {}, aNow);
+      break;
+    }
+    const auto node = mQueued.extract(entry->id);
+    mInFlight.emplace(entry->id, node.mapped());
+    aDeferred.sends.push_back(node.mapped());
+  }
+  RefuseQueued(notRun, ResultCode::NotRunDeadline, aDeferred);
+}
+
+void ServerAgent::Run(Deferred aDeferred)
+{
+  for (const auto& it : aDeferred.sends) {
+    Send(it);
+  }
+  for (auto& [handler, result] : aDeferred.results) {
+    handler(std::move(result));
+  }
+}
+
+void ServerAgent::Send(const AttemptPtr& aAttempt)
+{
+  const auto& context = *aAttempt->request.context;
+  connection::SendRequest request;
+  request.target =
+    fmt::format("/v1/shards/{}/{}",
+                aAttempt->request.shard,
+                context.nonRepeatable ? "operations" : "search");
+  const auto remaining = std::chrono::duration_cast<milliseconds>(
+    context.deadline - SteadyClock::now());
+  request.headers = {
+    { "x-index-version", std::to_string(context.indexVersion) },
+    { "x-deadline-ms",
+      std::to_string(std::max<milliseconds::rep>(remaining.count(), 1)) },
+    { "content-type", "application/json" },
+  };
+  const auto& key = aAttempt->request.key;
+  request.requestId =
+    fmt::format("{}.{}.{}", key.origin, key.incarnation, key.attempt);
+  request.body = context.payload;
+  request.deadline = context.deadline;
+
+  std::shared_ptr<connection::ServerPool> pool;
+  std::uint64_t id = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    if (!mPool) {
+      mPool = std::make_shared<connection::ServerPool>(mEnvironment.context,
+                                                       PoolOptions());
+    }
+    pool = mPool;
+    id = mByKey.at(key);
+  }
+  request.guard = [self = shared_from_this(), aAttempt] {
+    const auto now = SteadyClock::now();
+    const auto code = self->Check(*aAttempt, now);
+    aAttempt->veto = code;
+    if (code != ResultCode::Ok) {
+      return false;
+    }
+    aAttempt->token.Change(aAttempt->request.hedge ? WorkKind::Hedged
+                                                   : WorkKind::InFlight);
+    return true;
+  };
+  request.handler = [self = shared_from_this(), id, aAttempt](
+                      SendResult&& aResult) {
+    self->OnResult(id, aAttempt, std::move(aResult));
+  };
+  request.ended = [self = shared_from_this(), id, aAttempt](AttemptEnd aEnd,
+                                                            Duration aLatency) {
+    self->OnEnded(id, aAttempt, aEnd, aLatency);
+  };
+  const auto handle = pool->AsyncSend(std::move(request));
+  const std::lock_guard lock(mMutex);
+  aAttempt->handle = handle;
+}
+
+void ServerAgent::OnResult(std::uint64_t /*aId*/,
+                           const AttemptPtr& aAttempt,
+                           SendResult&& aResult)
+{
+  const bool nonRepeatable = aAttempt->request.context->nonRepeatable;
+  OwnerResult result;
+  if (aResult.error == SendError::None) {
+    result.code = CodeOfAnswer(aResult, nonRepeatable);
+  } else if (aResult.error == SendError::Vetoed) {
+    result.code = aAttempt->veto;
+  } else {
+    result.code = CodeOfError(aResult, nonRepeatable);
+  }
+  if (result.code == ResultCode::Ok ||
+      result.code == ResultCode::ShardVersionMissing) {
+    result.body = std::move(aResult.body);
+  }
+  std::vector<request::Fingerprint> suspects;
+  OwnerExecutor::Handler handler;
+  ServerId server;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto now = SteadyClock::now();
+    if (aResult.error == SendError::None) {
+      aAttempt->outcome = OutcomeOfAnswer(aResult);
+      if (aResult.Header("x-reason") == "draining") {
+        mDrainingUntil = now + kDrainingFor;
+        mLimiter.SetDraining(true);
+      }
+    }
+    if (aResult.error == SendError::Closed && aResult.byteWritten) {
+      server = mServer.id;
+      for (const auto& [id, attempt] : mInFlight) {
+        suspects.push_back(attempt->request.context->fingerprint);
+      }
+      // The closed attempt itself may have left the table already.
+      suspects.push_back(aAttempt->request.context->fingerprint);
+    }
+    if (aResult.error == SendError::Cancelled ||
+        aResult.error == SendError::Timeout) {
+      aAttempt->token.Change(WorkKind::Unconfirmed);
+    }
+    result.load = Load();
+    result.elapsed = now - aAttempt->receivedAt;
+    handler = std::move(aAttempt->handler);
+  }
+  if (!suspects.empty()) {
+    mEnvironment.hooks.crashed(suspects, server);
+  }
+  handler(std::move(result));
+}
+
+void ServerAgent::OnEnded(std::uint64_t aId,
+                          const AttemptPtr& aAttempt,
+                          AttemptEnd aEnd,
+                          Duration aLatency)
+{
+  Deferred deferred;
+  std::uint64_t fallBacks = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto now = SteadyClock::now();
+    fallBacks = mLimiter.FallBacks();
+    switch (aEnd) {
+      case AttemptEnd::NotSent:
+        mLimiter.Complete(Outcome::NotSent, {}, now);
+        break;
+      case AttemptEnd::Answered: {
+        // An answer after a timeout or cancellation has no stored outcome.
+        const auto outcome = aAttempt->outcome == Outcome::Lost
+                               ? Outcome::Cancelled
+                               : aAttempt->outcome;
+        mLimiter.Complete(outcome, aLatency, now);
+        break;
+      }
+      case AttemptEnd::ConnectionLost:
+      case AttemptEnd::GivenUp:
+        mLimiter.Complete(Outcome::Lost, aLatency, now);
+        break;
+    }
+    mInFlight.erase(aId);
+    mByKey.erase(aAttempt->request.key);
+    aAttempt->token.End();
+    Pump(now, deferred);
+    ClosePoolIfDone();
+  }
+  ReportFallBack(fallBacks);
+  Run(std::move(deferred));
+}
+
+void ServerAgent::OnLost()
+{
+  std::uint64_t fallBacks = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    fallBacks = mLimiter.FallBacks();
+    mLimiter.ConnectionLost(SteadyClock::now());
+  }
+  ReportFallBack(fallBacks);
+}
+
+void ServerAgent::ReportFallBack(std::uint64_t aBefore)
+{
+  ServerId server;
+  std::string_view reason;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mLimiter.FallBacks() == aBefore) {
+      return;
+    }
+    server = mServer.id;
+    reason = connection::Name(mLimiter.LastFallBack());
+  }
+  mEnvironment.hooks.turnedCold(server, reason);
+}
+
+bool ServerAgent::Cancel(const AttemptKey& aKey)
+{
+  Deferred deferred;
+  std::shared_ptr<connection::ServerPool> pool;
+  connection::ServerPool::Handle handle = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto it = mByKey.find(aKey);
+    if (it == mByKey.end()) {
+      return false;
+    }
+    const auto id = it->second;
+    if (mQueue.Remove(id)) {
+      RefuseQueued({ { id, {}, {} } }, ResultCode::NotRunCancelled, deferred);
+    } else if (const auto found = mInFlight.find(id);
+               found != mInFlight.end()) {
+      pool = mPool;
+      handle = found->second->handle;
+    }
+  }
+  if (pool && handle != 0) {
+    pool->Cancel(handle);
+  }
+  Run(std::move(deferred));
+  return true;
+}
+
+void ServerAgent::ExpireQueue(TimePoint aNow)
+{
+  Deferred deferred;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mLimiter.Draining() && !mListedLeaving && aNow >= mDrainingUntil) {
+      mLimiter.SetDraining(false);
+    }
+    if (mQueue.size() == 0) {
+      return;
+    }
+    std::vector<connection::QueueEntry> notRun;
+    if (mLimiter.Draining()) {
+      mQueue.Clear(notRun);
+      RefuseQueued(notRun, ResultCode::NotRunLeaving, deferred);
+    } else {
+      mQueue.Expire(Estimate(), aNow, notRun);
+      RefuseQueued(notRun, ResultCode::NotRunDeadline, deferred);
+    }
+  }
+  Run(std::move(deferred));
+}
+
+void ServerAgent::Update(const version::ServerInfo& aServer,
+                         const version::LimitsSpec& aLimits,
+                         bool aSendable,
+                         TimePoint aNow)
+{
+  Deferred deferred;
+  {
+    const std::lock_guard lock(mMutex);
+    const bool moved = aServer.address != mServer.address;
+    if (mServer.limits != aServer.limits || moved) {
+      mServer = aServer;
+      mLimiter.SetOptions(LimiterOptions(), aNow);
+      if (mPool && !moved) {
+        const auto options = PoolOptions();
+        mPool->SetConnections(options.maxConnections, options.warmConnections);
+      }
+    }
+    mMaxSubrequest = aLimits.maxSubrequest;
+    mQueue.SetCapacity(aLimits.queuePerServer);
+    if (moved && mPool) {
+      mPool->Close();
+      mPool.reset();
+      mLimiter.ConnectionLost(aNow);
+    }
+    if (aSendable && !mSendable) {
+      // Another instance may have used the server meanwhile.
+      mLimiter.ConnectionLost(aNow);
+    }
+    mSendable = aSendable;
+    if (!aSendable) {
+      std::vector<connection::QueueEntry> notRun;
+      mQueue.Clear(notRun);
+      RefuseQueued(notRun, ResultCode::NotRunNoOwner, deferred);
+      ClosePoolIfDone();
+    }
+  }
+  Run(std::move(deferred));
+}
+
+void ServerAgent::Withdraw()
+{
+  Deferred deferred;
+  {
+    const std::lock_guard lock(mMutex);
+    mSendable = false;
+    std::vector<connection::QueueEntry> notRun;
+    mQueue.Clear(notRun);
+    RefuseQueued(notRun, ResultCode::NotRunWithdrawn, deferred);
+    ClosePoolIfDone();
+  }
+  Run(std::move(deferred));
+}
+
+void ServerAgent::ClosePoolIfDone()
+{
+  if (!mSendable && mInFlight.empty() && mPool) {
+    mPool->Close();
+    mPool.reset();
+  }
+}
+
+void ServerAgent::SetLeaving(bool aLeaving)
+{
+  const std::lock_guard lock(mMutex);
+  mListedLeaving = aLeaving;
+  mLimiter.SetDraining(aLeaving || SteadyClock::now() < mDrainingUntil);
+}
+
+void ServerAgent::Close()
+{
+  std::shared_ptr<connection::ServerPool> pool;
+  {
+    const std::lock_guard lock(mMutex);
+    mSendable = false;
+    pool = std::move(mPool);
+  }
+  if (pool) {
+    pool->Close();
+  }
+}
+
+SliceId ServerAgent::Slice() const
+{
+  const std::lock_guard lock(mMutex);
+  return mServer.slice;
+}
+
+bool ServerAgent::Idle() const
+{
+  const std::lock_guard lock(mMutex);
+  return mInFlight.empty() && mQueued.empty();
+}
+
+std::size_t ServerAgent::InFlight() const
+{
+  const std::lock_guard lock(mMutex);
+  return mInFlight.size();
+}
+
+bool ServerAgent::Disposable() const
+{
+  const std::lock_guard lock(mMutex);
+  return !mSendable && mInFlight.empty() && mQueued.empty() && !mPool;
+}
+
+} // namespace bronzedeal::daemon
