--- a/include/bronzedeal/version/document.hpp
+++ b/include/bronzedeal/version/document.hpp
@@ -126,8 +126,10 @@
 [[nodiscard]] std::optional<Document> ParseDocument(std::string_view aText,
                                                     Error& aError);
 
-/// The document as JSON with sorted keys, all defaults written out and no white
-/// space. `ParseDocument(CanonicalText(d))` gives `d`.
+/// The document as JSON with sorted keys (index versions by number) and without
+/// white space. Fields at their default are left out, so that the text is never
+/// longer than the limit on documents. `ParseDocument(CanonicalText(d))` gives
+/// `d`.
 [[nodiscard]] std::string CanonicalText(const Document& aDocument);
 
 /// xxhash128 of the canonical text, most significant byte first.
--- a/include/bronzedeal/version/work_ledger.hpp
+++ b/include/bronzedeal/version/work_ledger.hpp
@@ -41,10 +41,10 @@
 
 /// Counts unfinished work. Thread safe.
 ///
-/// `CountsBelow(v)` is empty only at a moment at which no token of a version
-/// below v existed. To rely on it, senders call `Begin` first, check the
-/// snapshot in force next and send last: work that begins after an empty answer
-/// then sees the newer version.
+/// A reader that proves the end of former work stores the newer snapshot first
+/// and calls `CountsBelow` next. Senders call `Begin` first, check the snapshot
+/// in force next and send last. A sender then either is in the counts or sees
+/// the newer version.
 class WorkLedger
 {
   struct Cell;
@@ -93,8 +93,9 @@
               WorkKind aKind);
 
   /// All counts above zero under versions below `aVersion`, sorted by version,
-  /// selector, failure domain and kind. Never empty while such work exists; the
-  /// split by kind may lag behind concurrent changes.
+  /// selector, failure domain and kind. Every token that exists during the
+  /// whole call is counted; the split by kind may lag behind concurrent
+  /// changes.
   [[nodiscard]] std::vector<WorkCount> CountsBelow(
     ConfigVersion aVersion) const;
   /// All counts above zero.
