--- a/include/bronzedeal/request/attempt.hpp
+++ b/include/bronzedeal/request/attempt.hpp
@@ -39,8 +39,11 @@
 /// The answer to one attempt, or the reason why there is none.
 struct AttemptResult
 {
-  /// `Ok`; a not-run code; `ShardVersionMissing`, `ShardServerLost`,
-  /// `ShardTimeout`, `ShardBadAnswer` or another code.
+  /// `Ok`; a not-run code; `ShardVersionMissing`, `ShardTimeout`,
+  /// `ShardBadAnswer`; `ShardServerLost` when the server's connection broke
+  /// while the request was in flight, which makes the content suspect;
+  /// `OutcomeUnknown` when the owner or the link to it was lost, which says
+  /// nothing about the content.
   ResultCode code = ResultCode::Ok;
   /// Version that the answer was computed from. With `ShardVersionMissing` the
   /// newest version that the server holds, or 0.
--- a/include/bronzedeal/request/query_run.hpp
+++ b/include/bronzedeal/request/query_run.hpp
@@ -31,6 +31,10 @@
   bool mayRestart = true;
   /// Upper bound of one sub-request, `limits.max_subrequest_ms`.
   Duration maxSubrequest = milliseconds(1000);
+  /// Hedge delay of a service without enough latency samples.
+  Duration initialHedgeDelay = milliseconds(50);
+  /// Time left below which a restart on another index version is not offered.
+  Duration minRestartTime = milliseconds(20);
   Duration minHedgeDelay = milliseconds(1);
   Duration maxHedgeDelay = milliseconds(250);
 };
@@ -79,7 +83,7 @@
   IndexVersion indexVersion = 0;
   std::vector<IncludedShard> included;
   std::vector<MissingShard> missing;
-  /// Included shards / all shards; 0 for a plan without shards.
+  /// Included shards / all shards; 1 for a plan without shards.
   double ratio = 0;
   /// Most shards lack the pinned index version and there is time left: a new
   /// run on the version now served may succeed.
@@ -140,6 +144,11 @@
   /// cancelled, and their shards are missing with `ShardCancelled`.
   void Abort(TimePoint aNow, std::vector<QueryAction>& aActions);
 
+  /// True when most shards lack the pinned index version, a newer one is held
+  /// or may be held, and there is time left. The daemon may then call `Abort`
+  /// and run the query once more when its own snapshot serves a newer version.
+  [[nodiscard]] bool RestartWorthwhile(TimePoint aNow) const noexcept;
+
   [[nodiscard]] bool Finished() const noexcept { return mFinished; }
   [[nodiscard]] const version::RoutePlan& Plan() const noexcept
   {
@@ -170,8 +179,12 @@
     std::uint32_t running = 0;
     std::uint32_t firstReplica = 0;
     std::uint32_t replicas = 0;
-    std::uint32_t lastAttempt = 0;
     LatencyDigests::Index digest = 0;
+    /// Wait before the next hedge; doubles each time none could be sent.
+    Duration hedgeDelay{};
+    /// When the timer of the next hedge is due; other hedge timers are stale.
+    TimePoint hedgeAt{};
+    bool failed = false;
     ResultCode code = ResultCode::Internal;
     std::string hits;
   };
@@ -232,11 +245,20 @@
                    TimePoint aNow,
                    std::vector<QueryAction>& aActions);
   void Advance(TimePoint aNow, std::vector<QueryAction>& aActions);
-  void End(TimePoint aNow, std::vector<QueryAction>& aActions);
+  /// `aWaiting` and `aRunning` are the reasons of shards without an answer.
+  void End(ResultCode aWaiting,
+           ResultCode aRunning,
+           TimePoint aNow,
+           std::vector<QueryAction>& aActions);
+  /// True when the answered and open shards can't reach the coverage.
+  [[nodiscard]] bool Unreachable() const noexcept;
+  [[nodiscard]] ResultCode CodeOf(const QueryAnswer& aAnswer) const noexcept;
+  [[nodiscard]] static bool Later(const Timer& aLeft,
+                                  const Timer& aRight) noexcept;
   void Arm(const Timer& aTimer);
+  void ArmHedge(std::uint32_t aShard, Duration aDelay, TimePoint aNow);
   [[nodiscard]] bool Live(const Timer& aTimer) const noexcept;
   [[nodiscard]] Duration HedgeDelay(std::uint32_t aShard, TimePoint aNow);
-  [[nodiscard]] bool RestartWorthwhile(TimePoint aNow) const noexcept;
 
   version::RoutePlan mPlan;
   QueryOptions mOptions;
--- a/include/bronzedeal/request/replica_chooser.hpp
+++ b/include/bronzedeal/request/replica_chooser.hpp
@@ -4,6 +4,7 @@
 #include "bronzedeal/types.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <random>
 #include <span>
@@ -17,7 +18,8 @@
 /// that owners attach to answers second, which loses weight with its age.
 /// Compares two random candidates (power of two choices). Servers that are
 /// leaving, without an owner, cold or saturated are chosen only when no other
-/// candidate is left. Not thread safe: guarded by the caller.
+/// candidate is left, except for a small share of choices that warms up a cold
+/// server. Not thread safe: guarded by the caller.
 class ReplicaChooser
 {
 public:
@@ -27,6 +29,13 @@
   {
     /// Half-life of the load attached to an answer.
     Duration loadHalfLife = milliseconds(100);
+    /// Half-life of this instance's own mean latency of a server.
+    Duration latencyHalfLife = std::chrono::seconds(2);
+    /// How long an answer's allowance below the slots marks a server as cold.
+    Duration coldFor = std::chrono::seconds(5);
+    /// Share of choices that go to a cold server beside a warm one: without
+    /// completions it would never become warm.
+    std::uint32_t coldPercent = 5;
     /// How long a refusal (shed, overloaded) marks a server as saturated.
     Duration saturatedFor = milliseconds(50);
     /// How long `NotRunNoOwner` marks a server; a takeover takes up to 2.5 s.
@@ -84,6 +93,7 @@
     std::uint32_t inFlight = 0;
     /// Exponentially weighted mean in microseconds; 0 when unknown.
     float latency = 0;
+    TimePoint latencyAt{};
     ServerLoad load;
     TimePoint loadAt{};
     TimePoint saturatedUntil{};
@@ -92,7 +102,6 @@
     TimePoint lostUntil{};
     bool leaving = false;
     bool owned = true;
-    bool cold = false;
   };
   struct Removed
   {
@@ -108,11 +117,17 @@
     }
   };
 
+  static constexpr int kColdClass = 1;
+
   /// 0 usable; higher classes are chosen only when no lower one is left.
   [[nodiscard]] int Avoidance(const Server& aServer,
                               TimePoint aNow) const noexcept;
   [[nodiscard]] bool Saturated(const Server& aServer,
                                TimePoint aNow) const noexcept;
+  [[nodiscard]] bool Cold(const Server& aServer, TimePoint aNow) const noexcept;
+  static void Observe(Server& aServer,
+                      Duration aLatency,
+                      TimePoint aNow) noexcept;
   [[nodiscard]] double Cost(const Server& aServer,
                             TimePoint aNow) const noexcept;
 
@@ -120,7 +135,7 @@
   Options mOptions;
   std::unordered_map<ServerId, Index, Hash, std::equal_to<>> mIndex;
   std::vector<Server> mServers;
-  std::vector<Removed> mRemoved;
+  std::deque<Removed> mRemoved;
 };
 
 } // namespace bronzedeal::request
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -84,7 +84,7 @@
   { OutcomeUnknownLowCoverage,
     "OutcomeUnknownLowCoverage",
     503,
-    "Shards may have run; the asked coverage was missed; no result is given." },
+    "Shards may have run; the answer has less than the asked coverage." },
   { ShardTimeout, "ShardTimeout", 504, "The shard did not answer in time." },
   { ShardServerLost, "ShardServerLost", 502, "The connection broke." },
   { ShardVersionMissing,
