--- a/include/bronzedeal/process/withdrawal_report.hpp
+++ b/include/bronzedeal/process/withdrawal_report.hpp
@@ -29,9 +29,11 @@
 {
   RosterRevision rosterRevision = 0;
   std::span<const RosterEntry> roster;
-  /// `Membership::Records`.
+  /// `Membership::Records` and its epoch.
   std::span<const Member> members;
-  /// All slices of the configuration in force.
+  std::uint64_t epoch = 0;
+  /// All slices of the configuration in force. Slices of former versions are
+  /// kept, since a holder with an old version may still act on them.
   std::span<const SliceId> slices;
   /// Longest `limits.max_subrequest_ms` of the versions still in use.
   milliseconds maxSubrequest{ 1000 };
@@ -41,14 +43,19 @@
 {
   /// Too few witnesses of the slice report the version.
   WitnessQuorum,
-  /// Too few members of the roster report the version.
+  /// Too few members of the roster report the version. An instance that
+  /// restarts takes the highest version of a majority, so a majority keeps it.
   RosterMajority,
-  /// The instance reports a lower version and may hold a lease.
+  /// The instance is alive and reports a lower version.
   OlderVersion,
   /// The instance has unfinished work under a lower version.
   UnfinishedWork,
-  /// The instance does not report and may act until its lease has expired.
+  /// The instance is dead or was never heard of, and may act until leases
+  /// granted under lower versions have expired.
   Silent,
+  /// Leases granted under lower versions, also those of replaced or unlisted
+  /// instances, may not have expired yet.
+  LeasesRunning,
 };
 
 [[nodiscard]] std::string_view NameOf(WaitReason aReason) noexcept;
@@ -74,7 +81,8 @@
 };
 
 /// Evaluates the claim that no work under a version below `v` runs or can
-/// start. `Observe` collects evidence over time; the claim is never made early.
+/// start; docs/notes/withdrawal.md has the proof. `Observe` collects evidence
+/// over time; a claim that holds once holds for good.
 class WithdrawalReport
 {
 public:
@@ -83,22 +91,23 @@
   WithdrawalReport(WithdrawalReport&&) noexcept;
   WithdrawalReport& operator=(WithdrawalReport&&) noexcept;
 
-  /// Starts to follow a version; a version in force is followed by the caller
-  /// as soon as it is accepted. At most 16 are kept, the highest ones.
+  /// Starts to follow a version, which the caller does for each accepted one.
+  /// The 16 highest are kept.
   void Follow(ConfigVersion aVersion, TimePoint aNow);
 
-  /// To be called with each tick or change of a record.
+  /// To be called with each tick. A gap of more than 1 s between two calls
+  /// discards the evidence of continuous conditions.
   void Observe(const WithdrawalInputs& aInputs, TimePoint aNow);
 
-  /// Counts reported by an instance for versions below `aVersion`; they only
-  /// add detail to the report and can delay the claim, never hasten it.
+  /// Counts reported by an instance for versions below `aVersion`; they can
+  /// delay the claim, never hasten it.
   void SetCounts(const InstanceId& aInstance,
                  Incarnation aIncarnation,
                  ConfigVersion aVersion,
                  const LedgerCounts& aCounts);
 
-  /// The state of the claim for a version; follows the version when it was not
-  /// followed yet.
+  /// The state of the claim as of the last observation; follows the version
+  /// when it was not followed yet.
   WithdrawalStatus Evaluate(ConfigVersion aVersion, TimePoint aNow);
 
 private:
--- a/src/process/config_distributor.cpp
+++ b/src/process/config_distributor.cpp
@@ -30,6 +30,17 @@
   return text;
 }
 
+ConfigHash HashOfText(std::string_view aText)
+{
+  const auto digest = XXH3_128bits(aText.data(), aText.size());
+  ConfigHash hash{};
+  for (std::size_t i = 0; i < 8; ++i) {
+    hash[i] = static_cast<std::uint8_t>(digest.high64 >> (8 * i));
+    hash[8 + i] = static_cast<std::uint8_t>(digest.low64 >> (8 * i));
+  }
+  return hash;
+}
+
 } // namespace
 
 std::vector<InstanceId> ReadersOf(std::uint64_t aWindow,
@@ -68,6 +79,8 @@
   std::map<ConfigVersion, std::string> patches;
   std::deque<DocumentKey> invalid;
   std::set<DocumentKey> conflicts;
+  /// Peers whose content did not match its version and hash.
+  std::set<std::pair<InstanceId, ConfigVersion>> mismatched;
   std::map<InstanceId, ConfigVersion> hints;
   std::optional<Pull> pull;
   InstanceId lastPeer;
@@ -149,6 +162,7 @@
     current = std::move(aDocument);
     patches.clear();
     conflicts.clear();
+    mismatched.clear();
     pull.reset();
     wantWhole = false;
     std::erase_if(
@@ -248,7 +262,8 @@
     ConfigVersion highest = Version();
     std::vector<InstanceId> peers;
     const auto consider = [&](const InstanceId& aPeer, ConfigVersion aVersion) {
-      if (aPeer == self || aVersion < highest || aVersion <= Version()) {
+      if (aPeer == self || aVersion < highest || aVersion <= Version() ||
+          mismatched.contains({ aPeer, aVersion })) {
         return;
       }
       if (aVersion > highest) {
@@ -283,6 +298,20 @@
     aActions.messages.push_back({ lastPeer, message });
   }
 
+  void BackOff(TimePoint aNow)
+  {
+    backoff =
+      std::clamp<Duration>(backoff * 2, options.backoffMin, options.backoffMax);
+    const auto half = static_cast<std::uint64_t>(backoff.count() / 2) + 1;
+    nextRead = aNow + backoff / 2 + Duration(random() % half);
+  }
+
+  void Continue(TimePoint aNow)
+  {
+    backoff = Duration(0);
+    nextRead = std::max(aNow, readStart + options.readGap);
+  }
+
   void CheckReady(const ConfigInputs& aInputs)
   {
     if (ready) {
@@ -346,27 +375,31 @@
   auto& impl = *mImpl;
   impl.reading = false;
   if (aAnswer.status == ServiceStatus::Failed) {
-    const auto longest = std::clamp<Duration>(
-      impl.backoff * 2, impl.options.backoffMin, impl.options.backoffMax);
-    impl.backoff = longest;
-    const auto half = static_cast<std::uint64_t>(longest.count() / 2) + 1;
-    impl.nextRead = aNow + longest / 2 + Duration(impl.random() % half);
+    impl.BackOff(aNow);
     return;
   }
-  impl.backoff = Duration(0);
-  impl.nextRead = std::max(aNow, impl.readStart + impl.options.readGap);
   if (aAnswer.status == ServiceStatus::NoneNewer) {
+    impl.Continue(aNow);
     return;
   }
   auto result = impl.functions.validate(aAnswer.text);
   auto& document = result.configuration;
-  impl.serviceVersion = std::max(impl.serviceVersion, document.version);
+  if (document.version > std::max(impl.serviceVersion, impl.Version())) {
+    impl.serviceVersion = document.version;
+    impl.Continue(aNow);
+  } else {
+    // The next read would return the same text at once.
+    impl.BackOff(aNow);
+  }
   if (result.valid) {
     impl.Accept(std::move(document), "the service", aActions);
-  } else {
-    impl.Reject(
-      document.version, document.hash, "the service", result.reason, aActions);
+    return;
   }
+  if (document.hash == ConfigHash{}) {
+    document.hash = HashOfText(aAnswer.text);
+  }
+  impl.Reject(
+    document.version, document.hash, "the service", result.reason, aActions);
 }
 
 void ConfigDistributor::OnHeard(const InstanceId& aPeer, ConfigVersion aVersion)
@@ -444,12 +477,17 @@
     impl.wantWhole = true;
     return;
   }
-  impl.Reject(aContent.version,
-              aContent.hash,
-              aFrom,
-              result.valid ? "the text does not match version and hash"
-                           : result.reason,
-              aActions);
+  if (same) {
+    impl.Reject(
+      aContent.version, aContent.hash, aFrom, result.reason, aActions);
+  } else if (impl.mismatched.emplace(aFrom, aContent.version).second) {
+    // Damaged content says nothing about the document itself.
+    aActions.notes.push_back(
+      { AuditKind::ConfigRejected,
+        aContent.version,
+        fmt::format("from {}: the text does not match version and hash",
+                    aFrom) });
+  }
 }
 
 void ConfigDistributor::Rejoin()
