--- a/src/version/json_reader.cpp
+++ b/src/version/json_reader.cpp
@@ -42,10 +42,12 @@
 class DuplicateFinder
 {
 public:
+  // NOLINTBEGIN(readability-identifier-naming): names given by Boost.JSON.
   static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
+  // NOLINTEND(readability-identifier-naming)
 
   explicit DuplicateFinder(std::vector<FieldError>& aErrors) noexcept
     : mErrors(aErrors)
--- a/src/version/snapshot.cpp
+++ b/src/version/snapshot.cpp
@@ -261,8 +261,8 @@
 {
   explicit Tables(Document aDocument)
     : document(std::move(aDocument))
-    , text(CanonicalText(document))
-    , hash(HashOfText(text))
+    , canonical(CanonicalText(document))
+    , hash(HashOfText(canonical))
     , selectorIndex(document.selectors)
   {
     AddServers();
@@ -280,7 +280,7 @@
   };
 
   const Document document;
-  const std::string text;
+  const std::string canonical;
   const DocumentHash hash;
   const SelectorIndex selectorIndex;
   std::vector<ServerInfo> servers;
@@ -538,7 +538,7 @@
 
 const std::string& Snapshot::Text() const noexcept
 {
-  return mTables->text;
+  return mTables->canonical;
 }
 
 RoutePlan Snapshot::Plan(const Labels& aCaller, const Labels& aRequest) const
