--- /dev/null
+++ b/include/bronzedeal/daemon/instance_list.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "bronzedeal/process/roster.hpp"
+#include "bronzedeal/types.hpp"
+
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace bronzedeal::daemon {
+
+/// The platform's list of live and leaving instances and servers.
+struct InstanceList
+{
+  RosterRevision revision = 0;
+  std::vector<process::RosterEntry> instances;
+  std::set<ServerId> leavingServers;
+};
+
+/// Parses the answer of `GET /v1/instances`; nullopt when a field is missing or
+/// has another type. Fields that are not known are ignored, since the platform
+/// may publish more.
+[[nodiscard]] std::optional<InstanceList> ParseInstanceList(
+  std::string_view aText);
+
+} // namespace bronzedeal::daemon
--- a/src/daemon/codec.cpp
+++ b/src/daemon/codec.cpp
@@ -64,8 +64,8 @@
   member.id = aIn.id();
   member.incarnation = aIn.incarnation();
   member.sequence = aIn.sequence();
-  member.status = static_cast<MemberStatus>(
-    std::min<std::uint32_t>(aIn.status(), 3));
+  member.status =
+    static_cast<MemberStatus>(std::min<std::uint32_t>(aIn.status(), 3));
   member.configVersion = aIn.config_version();
   member.configHash = Hash(aIn.config_hash());
   member.rosterRevision = aIn.roster_revision();
--- /dev/null
+++ b/src/daemon/control_plane.cpp
@@ -0,0 +1,803 @@
+#include "bronzedeal/daemon/control_plane.hpp"
+
+#include "bronzedeal/daemon/codec.hpp"
+#include "bronzedeal/daemon/instance_list.hpp"
+#include "bronzedeal/daemon/platform_client.hpp"
+#include "bronzedeal/peer.pb.h"
+#include "bronzedeal/process/config_distributor.hpp"
+#include "bronzedeal/process/fence.hpp"
+#include "bronzedeal/process/lease.hpp"
+#include "bronzedeal/process/membership.hpp"
+#include "bronzedeal/process/withdrawal_report.hpp"
+#include "bronzedeal/version/changes.hpp"
+#include "control_report.hpp"
+
+#include "config_functions.hpp"
+
+#include <algorithm>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <deque>
+#include <fmt/format.h>
+
+namespace bronzedeal::daemon {
+
+using namespace process;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds kTickInterval{ 50 };
+constexpr std::chrono::seconds kReaderWindow{ 10 };
+constexpr milliseconds kListWait{ 25'000 };
+// An answer may take this much longer than the wait that was asked for.
+constexpr milliseconds kReadGrace{ 2'000 };
+constexpr milliseconds kListRetry{ 500 };
+// Between two requests for the instance list to the same or another peer.
+constexpr milliseconds kRosterPullInterval{ 250 };
+
+std::uint64_t UnixMs()
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+struct ControlPlane::Impl : std::enable_shared_from_this<ControlPlane::Impl>
+{
+  Impl(boost::asio::io_context& aContext,
+       const Settings& aSettings,
+       RosterEntry aSelf,
+       Incarnation aIncarnation,
+       version::SnapshotHolder& aSnapshots,
+       LeaseTable& aLeases,
+       FleetViewHolder& aFleet,
+       connection::PeerTransport& aTransport,
+       const version::WorkLedger& aLedger,
+       AuditTrail& aAudit,
+       Metrics& aMetrics,
+       Hooks aHooks)
+    : settings(aSettings)
+    , incarnation(aIncarnation)
+    , snapshots(aSnapshots)
+    , leases(aLeases)
+    , fleet(aFleet)
+    , transport(aTransport)
+    , ledger(aLedger)
+    , audit(aAudit)
+    , metrics(aMetrics)
+    , hooks(std::move(aHooks))
+    , strand(boost::asio::make_strand(aContext))
+    , timer(strand)
+    , platform(aContext, aSettings.platformAddress)
+    , membership(std::move(aSelf), aIncarnation, Seeded(aIncarnation))
+    , voter(aSettings.instance, SteadyClock::now())
+    , holder(aSettings.instance)
+    , distributor(aSettings.instance, MakeConfigFunctions())
+    , fence(SteadyClock::now())
+  {
+  }
+
+  static MembershipOptions Seeded(Incarnation aIncarnation)
+  {
+    MembershipOptions options;
+    options.seed = aIncarnation;
+    return options;
+  }
+
+  void ArmTimer();
+  void Tick();
+  void HandlePause();
+  void TickDistributor(TimePoint aNow);
+  void TickLeases(TimePoint aNow);
+  void TickRoster(TimePoint aNow);
+  void UpdateSelf();
+  void PublishFleet();
+  void NoteMemberChanges(const std::vector<Member>& aMembers);
+  void NoteLeaseChanges();
+  void ObserveWithdrawal(TimePoint aNow);
+
+  void Receive(const peer::Envelope& aEnvelope);
+  void Handle(const InstanceId& aFrom,
+              Incarnation aIncarnation,
+              const Message& aMessage,
+              TimePoint aNow);
+  void Apply(ConfigActions& aActions);
+  void PutInForce(const Configuration& aConfiguration);
+  void StartRead(const ServiceRead& aRead);
+  void StartListRead(milliseconds aWait);
+  void TakeList(const std::string& aText);
+  [[nodiscard]] bool IsReader() const;
+  void SendAll(std::vector<Outgoing>& aOut);
+  void Note(AuditNote aNote);
+
+  const Settings& settings;
+  const Incarnation incarnation;
+  version::SnapshotHolder& snapshots;
+  LeaseTable& leases;
+  FleetViewHolder& fleet;
+  connection::PeerTransport& transport;
+  const version::WorkLedger& ledger;
+  AuditTrail& audit;
+  Metrics& metrics;
+  Hooks hooks;
+
+  boost::asio::strand<boost::asio::io_context::executor_type> strand;
+  boost::asio::steady_timer timer;
+  PlatformClient platform;
+
+  // All below is used on the strand only.
+  Membership membership;
+  LeaseVoter voter;
+  LeaseHolder holder;
+  ConfigDistributor distributor;
+  Fence fence;
+  WithdrawalReport withdrawal;
+  bool stopped = false;
+  bool leaving = false;
+  bool paused = false;
+  std::uint64_t readNumber = 0;
+  bool listReadOpen = false;
+  TimePoint nextListRead{};
+  TimePoint nextRosterPull{};
+  std::string listText;
+  std::set<ServerId> leavingServers;
+  std::uint64_t publishedEpoch = ~0ULL;
+  std::uint64_t leaseGeneration = ~0ULL;
+  std::vector<SliceId> ownedSlices;
+  std::map<FailureDomain, std::string> regions;
+  std::vector<Member> lastMembers;
+  ConfigVersion completedVersion = 0;
+  std::deque<Outgoing> local;
+  std::atomic<bool> released{ false };
+};
+
+void ControlPlane::Impl::ArmTimer()
+{
+  timer.expires_after(kTickInterval);
+  timer.async_wait([weak = weak_from_this()](boost::system::error_code aError) {
+    const auto self = weak.lock();
+    if (!self || aError || self->stopped) {
+      return;
+    }
+    self->Tick();
+    self->ArmTimer();
+  });
+}
+
+void ControlPlane::Impl::Tick()
+{
+  const auto now = SteadyClock::now();
+  std::vector<Outgoing> out;
+  if (membership.Tick(now, out).paused) {
+    HandlePause();
+  }
+  SendAll(out);
+  if (fence.Update(membership.ContactSince(now), now)) {
+    const auto contact = membership.ContactSince(now);
+    Note({ fence.Fenced() ? AuditKind::Fenced : AuditKind::Unfenced,
+           0,
+           fmt::format(
+             "heard from {} of {} instances", contact.heard, contact.roster) });
+    if (fence.Fenced()) {
+      holder.Drop(now);
+    }
+  }
+  TickRoster(now);
+  TickDistributor(now);
+  if (paused && distributor.Ready()) {
+    paused = false;
+    Note({ AuditKind::Rejoined, 0, "the latest version heard is in force" });
+  }
+  TickLeases(now);
+  UpdateSelf();
+  PublishFleet();
+  ObserveWithdrawal(now);
+  hooks.tick(now);
+}
+
+void ControlPlane::Impl::HandlePause()
+{
+  paused = true;
+  metrics.Add(Counter::PausesDetected);
+  holder.Drop(SteadyClock::now());
+  leases.Publish({});
+  distributor.Rejoin();
+  membership.ForgetContacts();
+  Note({ AuditKind::Paused, 0, "the process was paused; leases dropped" });
+}
+
+void ControlPlane::Impl::TickDistributor(TimePoint aNow)
+{
+  const auto members = membership.Members();
+  ConfigActions actions;
+  distributor.Tick(
+    aNow,
+    { .members = members,
+      .contact = membership.ContactSince(aNow),
+      .window =
+        UnixMs() / 1000 / static_cast<std::uint64_t>(kReaderWindow.count()) },
+    actions);
+  Apply(actions);
+}
+
+void ControlPlane::Impl::TickLeases(TimePoint aNow)
+{
+  const auto snapshot = snapshots.Load();
+  if (!snapshot) {
+    return;
+  }
+  std::vector<SliceId> announced;
+  for (const auto& it : membership.Members()) {
+    if (it.id != settings.instance && it.status != MemberStatus::Dead) {
+      announced.insert(announced.end(), it.slices.begin(), it.slices.end());
+    }
+  }
+  const auto candidates = membership.Candidates();
+  LeaseInputs inputs;
+  inputs.configVersion = snapshot->Version();
+  inputs.rosterRevision = membership.Revision();
+  inputs.roster = membership.Roster();
+  inputs.candidates = candidates;
+  inputs.candidateEpoch = membership.CandidateEpoch();
+  inputs.slices = snapshot->Slices();
+  inputs.regions = &regions;
+  inputs.announced = announced;
+  inputs.maxSubrequest = snapshot->Content().limits.maxSubrequest;
+  inputs.active = distributor.Ready() && !fence.Fenced() && !paused;
+  inputs.leaving = leaving;
+  std::vector<Outgoing> out;
+  holder.Tick(aNow, inputs, out);
+  SendAll(out);
+  for (const auto& it : holder.Draining()) {
+    if (hooks.sliceIdle(it)) {
+      holder.Drained(it);
+    }
+  }
+  for (const auto& it : holder.TakeNewerPeers()) {
+    distributor.OnHeard(it.id, it.configVersion);
+  }
+  NoteLeaseChanges();
+}
+
+void ControlPlane::Impl::NoteLeaseChanges()
+{
+  if (holder.Generation() == leaseGeneration) {
+    return;
+  }
+  leaseGeneration = holder.Generation();
+  leases.Publish(holder.Sendable());
+  auto owned = holder.Owned();
+  std::sort(owned.begin(), owned.end());
+  for (const auto& it : owned) {
+    if (!std::binary_search(ownedSlices.begin(), ownedSlices.end(), it)) {
+      metrics.Add(Counter::LeasesAcquired);
+      Note({ AuditKind::LeaseAcquired, 0, "slice " + ToString(it) });
+    }
+  }
+  for (const auto& it : ownedSlices) {
+    if (!std::binary_search(owned.begin(), owned.end(), it)) {
+      metrics.Add(Counter::LeasesLost);
+      Note({ AuditKind::LeaseLost, 0, "slice " + ToString(it) });
+    }
+  }
+  ownedSlices = std::move(owned);
+  released.store(ownedSlices.empty());
+  metrics.Set(Gauge::SlicesOwned, static_cast<double>(ownedSlices.size()));
+}
+
+void ControlPlane::Impl::UpdateSelf()
+{
+  const auto snapshot = snapshots.Load();
+  SelfState state;
+  if (snapshot) {
+    state.configVersion = snapshot->Version();
+    state.configHash = snapshot->Hash();
+    const auto oldest = ledger.OldestVersion();
+    if (oldest && *oldest < state.configVersion) {
+      state.oldestActiveVersion = *oldest;
+    }
+  }
+  state.fenced = fence.Fenced();
+  state.leaving = leaving;
+  state.slices = holder.Owned();
+  membership.UpdateSelf(state);
+}
+
+void ControlPlane::Impl::PublishFleet()
+{
+  const auto current = fleet.Load();
+  const bool ready = distributor.Ready() && !paused;
+  if (membership.Epoch() == publishedEpoch && current->ready == ready &&
+      current->fenced == fence.Fenced()) {
+    return;
+  }
+  publishedEpoch = membership.Epoch();
+  auto view = std::make_shared<FleetView>();
+  view->self = settings.instance;
+  view->incarnation = incarnation;
+  view->ready = ready;
+  view->fenced = fence.Fenced();
+  view->leaving = leaving;
+  view->rosterRevision = membership.Revision();
+  view->members = membership.Members();
+  view->leavingServers = leavingServers;
+  for (const auto& member : view->members) {
+    if (member.status == MemberStatus::Dead) {
+      continue;
+    }
+    for (const auto& slice : member.slices) {
+      view->owners[slice] = member.id;
+    }
+  }
+  // The own leases are known better than any record.
+  for (const auto& slice : holder.Owned()) {
+    view->owners[slice] = settings.instance;
+  }
+  NoteMemberChanges(view->members);
+  const auto alive = std::count_if(
+    view->members.begin(), view->members.end(), [](const Member& aMember) {
+      return aMember.incarnation != 0 && aMember.status == MemberStatus::Alive;
+    });
+  metrics.Set(Gauge::MembersAlive, static_cast<double>(alive));
+  metrics.Set(Gauge::Fenced, view->fenced ? 1 : 0);
+  fleet.Store(view);
+  hooks.fleet(*view);
+}
+
+void ControlPlane::Impl::NoteMemberChanges(const std::vector<Member>& aMembers)
+{
+  for (const auto& it : aMembers) {
+    const auto old =
+      std::find_if(lastMembers.begin(),
+                   lastMembers.end(),
+                   [&](const auto& aOld) { return aOld.id == it.id; });
+    if (old == lastMembers.end() || it.id == settings.instance) {
+      continue;
+    }
+    if (old->incarnation != 0 && old->incarnation != it.incarnation) {
+      Note({ AuditKind::MemberReplaced,
+             0,
+             fmt::format("{} runs as incarnation {}", it.id, it.incarnation) });
+    } else if (old->status != it.status) {
+      Note({ AuditKind::MemberStatusChanged,
+             0,
+             fmt::format("{} is {}", it.id, NameOf(it.status)) });
+    }
+  }
+  lastMembers = aMembers;
+}
+
+void ControlPlane::Impl::ObserveWithdrawal(TimePoint aNow)
+{
+  const auto snapshot = snapshots.Load();
+  if (!snapshot) {
+    return;
+  }
+  const auto members = membership.Members();
+  WithdrawalInputs inputs;
+  inputs.rosterRevision = membership.Revision();
+  inputs.roster = membership.Roster();
+  inputs.members = members;
+  inputs.slices = snapshot->Slices();
+  inputs.maxSubrequest = snapshot->Content().limits.maxSubrequest;
+  withdrawal.Observe(inputs, aNow);
+  if (completedVersion < snapshot->Version() &&
+      withdrawal.Evaluate(snapshot->Version(), aNow).complete) {
+    completedVersion = snapshot->Version();
+    Note({ AuditKind::WithdrawalCompleted,
+           completedVersion,
+           "no instance runs or can start work under an earlier version" });
+  }
+}
+
+void ControlPlane::Impl::SendAll(std::vector<Outgoing>& aOut)
+{
+  for (auto& it : aOut) {
+    if (it.to == settings.instance) {
+      local.push_back(std::move(it));
+    } else {
+      transport.Send(it.to, Encode(it.body));
+    }
+  }
+  aOut.clear();
+  // Messages to the own instance are handled here; handling may append more.
+  while (!local.empty()) {
+    const auto message = std::move(local.front());
+    local.pop_front();
+    Handle(settings.instance, incarnation, message.body, SteadyClock::now());
+  }
+}
+
+void ControlPlane::Impl::Receive(const peer::Envelope& aEnvelope)
+{
+  const auto now = SteadyClock::now();
+  const auto& from = aEnvelope.sender();
+  const auto senderIncarnation = aEnvelope.sender_incarnation();
+  if (aEnvelope.has_gossip()) {
+    if (const auto message = Decode(aEnvelope)) {
+      Handle(from, senderIncarnation, *message, now);
+    }
+    return;
+  }
+  if (membership.Admit(from, senderIncarnation, now) != Reception::Accepted) {
+    return;
+  }
+  if (aEnvelope.has_roster_pull()) {
+    if (aEnvelope.roster_pull().have_revision() < membership.Revision()) {
+      peer::Envelope envelope;
+      envelope.mutable_roster_content()->set_revision(membership.Revision());
+      envelope.mutable_roster_content()->set_text(listText);
+      transport.Send(from, std::move(envelope));
+    }
+  } else if (aEnvelope.has_roster_content()) {
+    TakeList(aEnvelope.roster_content().text());
+  } else if (const auto message = Decode(aEnvelope)) {
+    Handle(from, senderIncarnation, *message, now);
+  }
+}
+
+void ControlPlane::Impl::Handle(const InstanceId& aFrom,
+                                Incarnation aIncarnation,
+                                const Message& aMessage,
+                                TimePoint aNow)
+{
+  struct Visitor
+  {
+    Impl& impl;
+    const InstanceId& from;
+    Incarnation senderIncarnation;
+    TimePoint now;
+
+    void operator()(const GossipMessage& aGossip) const
+    {
+      std::vector<Outgoing> out;
+      impl.membership.Receive(from, senderIncarnation, aGossip, now, out);
+      impl.SendAll(out);
+    }
+    void operator()(const LeaseRequestMessage& aRequest) const
+    {
+      std::vector<Outgoing> out;
+      out.push_back(
+        { from, impl.voter.Receive(from, senderIncarnation, aRequest, now) });
+      impl.SendAll(out);
+    }
+    void operator()(const LeaseReplyMessage& aReply) const
+    {
+      impl.holder.Receive(from, aReply, now);
+    }
+    void operator()(const LeaseReleaseMessage& aRelease) const
+    {
+      impl.voter.Release(from, senderIncarnation, aRelease, now);
+    }
+    void operator()(const ConfigPullMessage& aPull) const
+    {
+      ConfigActions actions;
+      impl.distributor.Receive(from, aPull, now, actions);
+      impl.Apply(actions);
+    }
+    void operator()(const ConfigContentMessage& aContent) const
+    {
+      ConfigActions actions;
+      impl.distributor.Receive(from, aContent, now, actions);
+      impl.Apply(actions);
+    }
+  };
+  std::visit(Visitor{ *this, aFrom, aIncarnation, aNow }, aMessage);
+}
+
+void ControlPlane::Impl::Apply(ConfigActions& aActions)
+{
+  for (auto& it : aActions.notes) {
+    if (it.kind == AuditKind::ConfigRejected) {
+      metrics.Add(Counter::ConfigRejected);
+    } else if (it.kind == AuditKind::ConfigConflict) {
+      metrics.Add(Counter::ConfigConflicts);
+    }
+    Note(std::move(it));
+  }
+  for (const auto& it : aActions.accepted) {
+    PutInForce(it);
+  }
+  if (aActions.cancelRead) {
+    ++readNumber;
+  }
+  if (aActions.read) {
+    StartRead(*aActions.read);
+  }
+  SendAll(aActions.messages);
+}
+
+void ControlPlane::Impl::PutInForce(const Configuration& aConfiguration)
+{
+  Error error;
+  auto document = version::ParseDocument(aConfiguration.text, error);
+  if (!document) {
+    // The distributor has validated the same text.
+    Note({ AuditKind::ConfigRejected, aConfiguration.version, error.message });
+    return;
+  }
+  const auto former = snapshots.Load();
+  const auto snapshot = version::MakeSnapshot(std::move(*document));
+  if (!snapshots.Store(snapshot)) {
+    return;
+  }
+  voter.SetConfigVersion(snapshot->Version());
+  withdrawal.Follow(snapshot->Version(), SteadyClock::now());
+  regions.clear();
+  for (const auto& [id, spec] : snapshot->Content().failureDomains) {
+    regions.emplace(id, spec.region);
+  }
+  metrics.Add(Counter::ConfigAccepted);
+  metrics.Set(Gauge::ConfigVersion, static_cast<double>(snapshot->Version()));
+  for (auto& it : ChangeNotes(former.get(), *snapshot)) {
+    Note(std::move(it));
+  }
+  hooks.snapshot(*snapshot);
+}
+
+void ControlPlane::Impl::StartRead(const ServiceRead& aRead)
+{
+  metrics.Add(Counter::PlatformReads);
+  const auto number = ++readNumber;
+  platform.Get(
+    fmt::format(
+      "/v1/config?after={}&wait_ms={}", aRead.after, aRead.wait.count()),
+    aRead.wait + kReadGrace,
+    [weak = weak_from_this(), number](PlatformClient::Answer aAnswer) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      boost::asio::post(
+        self->strand, [self, number, answer = std::move(aAnswer)]() mutable {
+          if (self->stopped || number != self->readNumber) {
+            return;
+          }
+          ServiceAnswer result;
+          result.status = answer.status == 200   ? ServiceStatus::Document
+                          : answer.status == 304 ? ServiceStatus::NoneNewer
+                                                 : ServiceStatus::Failed;
+          result.text = std::move(answer.body);
+          ConfigActions actions;
+          self->distributor.OnServiceAnswer(
+            result, SteadyClock::now(), actions);
+          self->Apply(actions);
+        });
+    });
+}
+
+bool ControlPlane::Impl::IsReader() const
+{
+  std::vector<InstanceId> live;
+  for (const auto& it : membership.Members()) {
+    if (it.incarnation != 0 && it.status == MemberStatus::Alive) {
+      live.push_back(it.id);
+    }
+  }
+  const auto window =
+    UnixMs() / 1000 / static_cast<std::uint64_t>(kReaderWindow.count());
+  const auto readers = ReadersOf(window, live);
+  return std::find(readers.begin(), readers.end(), settings.instance) !=
+         readers.end();
+}
+
+void ControlPlane::Impl::TickRoster(TimePoint aNow)
+{
+  const bool listed = std::any_of(
+    membership.Roster().begin(),
+    membership.Roster().end(),
+    [&](const RosterEntry& aEntry) { return aEntry.id == settings.instance; });
+  if (!listReadOpen && aNow >= nextListRead && (!listed || IsReader())) {
+    StartListRead(listed ? kListWait : milliseconds(0));
+  }
+  if (aNow < nextRosterPull) {
+    return;
+  }
+  const auto members = membership.Members();
+  const auto newer =
+    std::find_if(members.begin(), members.end(), [&](const Member& aMember) {
+      return aMember.rosterRevision > membership.Revision() &&
+             aMember.status != MemberStatus::Dead;
+    });
+  if (newer != members.end()) {
+    nextRosterPull = aNow + kRosterPullInterval;
+    peer::Envelope envelope;
+    envelope.mutable_roster_pull()->set_have_revision(membership.Revision());
+    transport.Send(newer->id, std::move(envelope));
+  }
+}
+
+void ControlPlane::Impl::StartListRead(milliseconds aWait)
+{
+  metrics.Add(Counter::PlatformReads);
+  listReadOpen = true;
+  platform.Get(fmt::format("/v1/instances?after={}&wait_ms={}",
+                           membership.Revision(),
+                           aWait.count()),
+               aWait + kReadGrace,
+               [weak = weak_from_this()](PlatformClient::Answer aAnswer) {
+                 const auto self = weak.lock();
+                 if (!self) {
+                   return;
+                 }
+                 boost::asio::post(
+                   self->strand, [self, answer = std::move(aAnswer)] {
+                     if (self->stopped) {
+                       return;
+                     }
+                     self->listReadOpen = false;
+                     self->nextListRead =
+                       SteadyClock::now() +
+                       (answer.status == 200 ? milliseconds(0) : kListRetry);
+                     if (answer.status == 200) {
+                       self->TakeList(answer.body);
+                     }
+                   });
+               });
+}
+
+void ControlPlane::Impl::TakeList(const std::string& aText)
+{
+  auto list = ParseInstanceList(aText);
+  if (!list || list->revision <= membership.Revision()) {
+    return;
+  }
+  const auto now = SteadyClock::now();
+  std::map<InstanceId, std::string> peers;
+  for (const auto& it : list->instances) {
+    if (it.id != settings.instance) {
+      peers.emplace(it.id, it.peerAddress);
+    }
+  }
+  transport.SetPeers(peers);
+  Note({ AuditKind::RosterChanged,
+         0,
+         fmt::format("revision {} lists {} instances, {} servers leaving",
+                     list->revision,
+                     list->instances.size(),
+                     list->leavingServers.size()) });
+  for (const auto& it : list->leavingServers) {
+    if (!leavingServers.contains(it)) {
+      Note({ AuditKind::ServerLeaving, 0, it });
+    }
+  }
+  leavingServers = list->leavingServers;
+  listText = aText;
+  membership.SetRoster(list->revision, std::move(list->instances), now);
+  voter.SetRoster(membership.Revision(), membership.Roster(), now);
+  hooks.leavingServers(leavingServers);
+  publishedEpoch = ~0ULL;
+}
+
+void ControlPlane::Impl::Note(AuditNote aNote)
+{
+  if (aNote.configVersion == 0) {
+    const auto snapshot = snapshots.Load();
+    aNote.configVersion = snapshot ? snapshot->Version() : 0;
+  }
+  const auto event = audit.Record(aNote, UnixMs());
+  LogEvent(LogLevel::Info,
+           "audit",
+           { { "kind", NameOf(event.kind) },
+             { "sequence", std::to_string(event.sequence) },
+             { "config_version", std::to_string(event.configVersion) },
+             { "detail", event.detail } });
+}
+
+ControlPlane::ControlPlane(boost::asio::io_context& aContext,
+                           const Settings& aSettings,
+                           RosterEntry aSelf,
+                           Incarnation aIncarnation,
+                           version::SnapshotHolder& aSnapshots,
+                           LeaseTable& aLeases,
+                           FleetViewHolder& aFleet,
+                           connection::PeerTransport& aTransport,
+                           const version::WorkLedger& aLedger,
+                           AuditTrail& aAudit,
+                           Metrics& aMetrics,
+                           Hooks aHooks)
+  : mImpl(std::make_shared<Impl>(aContext,
+                                 aSettings,
+                                 std::move(aSelf),
+                                 aIncarnation,
+                                 aSnapshots,
+                                 aLeases,
+                                 aFleet,
+                                 aTransport,
+                                 aLedger,
+                                 aAudit,
+                                 aMetrics,
+                                 std::move(aHooks)))
+{
+}
+
+ControlPlane::~ControlPlane() = default;
+
+void ControlPlane::Start()
+{
+  boost::asio::post(mImpl->strand, [impl = mImpl] {
+    impl->Note({ AuditKind::ProcessStarted,
+                 0,
+                 fmt::format("incarnation {}", impl->incarnation) });
+    impl->ArmTimer();
+  });
+}
+
+void ControlPlane::Stop()
+{
+  boost::asio::post(mImpl->strand, [impl = mImpl] {
+    impl->stopped = true;
+    impl->timer.cancel();
+  });
+}
+
+void ControlPlane::Receive(peer::Envelope&& aEnvelope)
+{
+  boost::asio::post(mImpl->strand,
+                    [impl = mImpl, envelope = std::move(aEnvelope)] {
+                      if (!impl->stopped) {
+                        impl->Receive(envelope);
+                      }
+                    });
+}
+
+void ControlPlane::BeginLeaving()
+{
+  boost::asio::post(mImpl->strand, [impl = mImpl] {
+    impl->leaving = true;
+    impl->Note({ AuditKind::Leaving, 0, "graceful shutdown" });
+    impl->UpdateSelf();
+    impl->publishedEpoch = ~0ULL;
+  });
+}
+
+bool ControlPlane::Released() const noexcept
+{
+  return mImpl->released.load();
+}
+
+void ControlPlane::State(std::function<void(std::string)> aHandler)
+{
+  boost::asio::post(mImpl->strand,
+                    [impl = mImpl, handler = std::move(aHandler)] {
+                      handler(WriteState(*impl->fleet.Load(),
+                                         impl->membership.Self(),
+                                         impl->holder.Owned(),
+                                         impl->membership.Members(),
+                                         impl->ledger.Total()));
+                    });
+}
+
+void ControlPlane::Withdrawal(ConfigVersion aVersion,
+                              std::function<void(std::string)> aHandler)
+{
+  boost::asio::post(
+    mImpl->strand, [impl = mImpl, aVersion, handler = std::move(aHandler)] {
+      const auto snapshot = impl->snapshots.Load();
+      const auto version =
+        aVersion == 0 && snapshot ? snapshot->Version() : aVersion;
+      const auto now = SteadyClock::now();
+      handler(WriteWithdrawal(impl->withdrawal.Evaluate(version, now),
+                              impl->settings.instance,
+                              impl->ledger.CountsBelow(version),
+                              now,
+                              UnixMs()));
+    });
+}
+
+void ControlPlane::Audit(AuditKind aKind, std::string aDetail)
+{
+  boost::asio::post(mImpl->strand,
+                    [impl = mImpl, aKind, detail = std::move(aDetail)] {
+                      impl->Note({ aKind, 0, detail });
+                    });
+}
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/src/daemon/instance_list.cpp
@@ -0,0 +1,56 @@
+#include "bronzedeal/daemon/instance_list.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace bronzedeal::daemon {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string Text(const json::object& aObject, std::string_view aKey)
+{
+  return json::value_to<std::string>(aObject.at(aKey));
+}
+
+process::RosterEntry ParseInstance(const json::value& aValue)
+{
+  const auto& object = aValue.as_object();
+  return { Text(object, "id"),     Text(object, "http"),
+           Text(object, "peer"),   Text(object, "failure_domain"),
+           Text(object, "region"), Text(object, "state") == "leaving" };
+}
+
+InstanceList Parse(const json::value& aValue)
+{
+  const auto& object = aValue.as_object();
+  InstanceList list;
+  list.revision = object.at("revision").to_number<RosterRevision>();
+  for (const auto& it : object.at("instances").as_array()) {
+    list.instances.push_back(ParseInstance(it));
+  }
+  const auto* servers = object.if_contains("servers");
+  if (servers != nullptr) {
+    for (const auto& it : servers->as_array()) {
+      if (Text(it.as_object(), "state") == "leaving") {
+        list.leavingServers.insert(Text(it.as_object(), "id"));
+      }
+    }
+  }
+  return list;
+}
+
+} // namespace
+
+std::optional<InstanceList> ParseInstanceList(std::string_view aText)
+{
+  try {
+    return Parse(json::parse(json::string_view(aText.data(), aText.size())));
+  } catch (const std::exception&) {
+    // Boost.JSON reports missing members and other types by exceptions.
+    return std::nullopt;
+  }
+}
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,569 @@
+#include "bronzedeal/daemon/node.hpp"
+
+#include "address_service.hpp"
+#include "bronzedeal/daemon/codec.hpp"
+#include "bronzedeal/daemon/control_plane.hpp"
+#include "bronzedeal/daemon/operation_service.hpp"
+#include "bronzedeal/daemon/query_service.hpp"
+#include "bronzedeal/peer.pb.h"
+#include "bronzedeal/version/explain.hpp"
+#include "control_report.hpp"
+
+#include "bronzedeal/request/caller_request.hpp"
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <charconv>
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace bronzedeal::daemon {
+
+using namespace process;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds kShutdownPoll{ 50 };
+// Work whose deadline is at most 10 s ends long before this.
+constexpr std::chrono::seconds kLongestShutdown{ 60 };
+constexpr milliseconds kTrafficInterval{ 1000 };
+// The lower bits of an incarnation are random: two starts may fall within one
+// millisecond.
+constexpr unsigned kRandomBits = 20;
+
+Incarnation NewIncarnation()
+{
+  const auto ms = std::chrono::duration_cast<milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count();
+  std::random_device random;
+  const auto low = random() & ((1U << kRandomBits) - 1);
+  return (static_cast<Incarnation>(ms) << kRandomBits) | low;
+}
+
+std::uint64_t ParseNumber(const std::string& aText)
+{
+  std::uint64_t n = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), n);
+  return n;
+}
+
+std::string WithPort(const std::string& aAddress, unsigned aPort)
+{
+  return aAddress.substr(0, aAddress.rfind(':') + 1) + std::to_string(aPort);
+}
+
+} // namespace
+
+struct Node::Impl
+{
+  explicit Impl(Settings aSettings)
+    : settings(std::move(aSettings))
+    , incarnation(NewIncarnation())
+    , context(static_cast<int>(settings.threads))
+    , audit(settings.instance)
+    , transport({ .self = settings.instance, .incarnation = incarnation })
+    , executor(context,
+               snapshots,
+               leases,
+               ledger,
+               settings.features.coldRamp,
+               ExecutorHooks())
+    , router(settings.instance,
+             incarnation,
+             fleet,
+             executor,
+             transport,
+             ledger,
+             metrics)
+    , queries(context, settings, snapshots, fleet, router, ledger, metrics)
+    , operations(context,
+                 settings,
+                 incarnation,
+                 snapshots,
+                 fleet,
+                 router,
+                 queries,
+                 transport,
+                 ledger,
+                 metrics)
+    , addresses(settings.addressTtl, snapshots, fleet)
+    , signals(context)
+    , shutdownTimer(context)
+  {
+  }
+
+  OwnerExecutor::Hooks ExecutorHooks();
+  ControlPlane::Hooks ControlHooks();
+  void Open();
+  void OnEnvelope(peer::Envelope&& aEnvelope);
+  [[nodiscard]] bool Known(const peer::Envelope& aEnvelope) const;
+  void HandleCaller(HttpRequest aRequest, HttpReply aReply);
+  void HandleAdmin(const HttpRequest& aRequest, const HttpReply& aReply);
+  void HandleFault(const std::string& aBody, const HttpReply& aReply);
+  void HandleExplain(const std::string& aBody, const HttpReply& aReply) const;
+  void ApplyFaults(const FaultInjection& aFaults);
+  void Tick(TimePoint aNow);
+  void SpreadQuarantine();
+  void CountTraffic();
+  void AwaitSignal();
+  void BeginShutdown();
+  void PollShutdown();
+  [[nodiscard]] bool Drained() const;
+
+  Settings settings;
+  Incarnation incarnation;
+  boost::asio::io_context context;
+  Metrics metrics;
+  AuditTrail audit;
+  version::WorkLedger ledger;
+  version::SnapshotHolder snapshots;
+  LeaseTable leases;
+  FleetViewHolder fleet;
+  connection::PeerTransport transport;
+  std::unique_ptr<ControlPlane> control;
+  OwnerExecutor executor;
+  AttemptRouter router;
+  QueryService queries;
+  OperationService operations;
+  AddressService addresses;
+  std::unique_ptr<HttpServer> http;
+  std::unique_ptr<HttpServer> admin;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer shutdownTimer;
+  TimePoint shutdownAt{};
+  TimePoint nextTraffic{};
+  std::array<double, 5> traffic{};
+  bool leaving = false;
+};
+
+OwnerExecutor::Hooks Node::Impl::ExecutorHooks()
+{
+  return {
+    .contentState =
+      [this](const request::Fingerprint& aContent) {
+        return queries.StateOfContent(aContent);
+      },
+    .crashed =
+      [this](std::span<const request::Fingerprint> aContents,
+             const ServerId& aServer) {
+        queries.NoteCrash(aContents, aServer);
+        control->Audit(AuditKind::ContentQuarantined,
+                       "server " + aServer + " lost its connections with " +
+                         std::to_string(aContents.size()) +
+                         " contents in flight");
+        SpreadQuarantine();
+      },
+    .turnedCold =
+      [this](const ServerId& aServer, std::string_view aReason) {
+        control->Audit(AuditKind::ServerCold,
+                       aServer + ": " + std::string(aReason));
+      },
+  };
+}
+
+ControlPlane::Hooks Node::Impl::ControlHooks()
+{
+  return {
+    .snapshot =
+      [this](const version::Snapshot& aSnapshot) {
+        queries.OnSnapshot(aSnapshot);
+        executor.Refresh(SteadyClock::now());
+      },
+    .fleet =
+      [this](const FleetView& aFleet) {
+        if (const auto snapshot = snapshots.Load()) {
+          queries.OnFleet(*snapshot, aFleet);
+        }
+      },
+    .tick = [this](TimePoint aNow) { Tick(aNow); },
+    .sliceIdle =
+      [this](const SliceId& aSlice) { return executor.Idle(aSlice); },
+    .leavingServers =
+      [this](const std::set<ServerId>& aServers) {
+        executor.SetLeaving(aServers);
+      },
+  };
+}
+
+void Node::Impl::Open()
+{
+  http = std::make_unique<HttpServer>(
+    context,
+    settings.httpAddress,
+    [this](HttpRequest aRequest, HttpReply aReply) {
+      HandleCaller(std::move(aRequest), std::move(aReply));
+    });
+  admin = std::make_unique<HttpServer>(
+    context,
+    settings.adminAddress,
+    [this](HttpRequest aRequest, HttpReply aReply) {
+      HandleAdmin(aRequest, aReply);
+    });
+  router.SetResultHandler(
+    [this](request::AttemptId aAttempt, OwnerResult aResult) {
+      if (aAttempt >= QueryService::kFirstOtherAttempt) {
+        operations.OnResult(aAttempt, std::move(aResult));
+      } else {
+        queries.OnResult(aAttempt, std::move(aResult));
+      }
+    });
+  transport.SetHandler(
+    [this](peer::Envelope&& aEnvelope) { OnEnvelope(std::move(aEnvelope)); });
+  transport.SetBreakHandler([this](const InstanceId& aPeer) {
+    router.OnBreak(aPeer);
+    operations.OnBreak(aPeer);
+  });
+  const auto port = boost::leaf::try_handle_all(
+    [&]() -> Result<unsigned> {
+      return transport.Listen(settings.peerAddress);
+    },
+    [&](const Error& aError) -> unsigned {
+      throw std::runtime_error(aError.message);
+    },
+    []() -> unsigned { throw std::runtime_error("the peer listener failed"); });
+  const auto peerAddress = WithPort(settings.peerAddress, port);
+  if (settings.faultInjection) {
+    ApplyFaults(*settings.faultInjection);
+  }
+  control = std::make_unique<ControlPlane>(context,
+                                           settings,
+                                           RosterEntry{ settings.instance,
+                                                        http->Address(),
+                                                        peerAddress,
+                                                        settings.failureDomain,
+                                                        settings.region,
+                                                        false },
+                                           incarnation,
+                                           snapshots,
+                                           leases,
+                                           fleet,
+                                           transport,
+                                           ledger,
+                                           audit,
+                                           metrics,
+                                           ControlHooks());
+  const boost::json::value line{ { "event", "listening" },
+                                 { "instance", settings.instance },
+                                 { "http", http->Address() },
+                                 { "admin", admin->Address() },
+                                 { "peer", peerAddress } };
+  std::cout << boost::json::serialize(line) << std::endl;
+  control->Start();
+}
+
+bool Node::Impl::Known(const peer::Envelope& aEnvelope) const
+{
+  const auto view = fleet.Load();
+  const auto* member = view->Find(aEnvelope.sender());
+  return member != nullptr &&
+         aEnvelope.sender_incarnation() >= member->incarnation;
+}
+
+void Node::Impl::OnEnvelope(peer::Envelope&& aEnvelope)
+{
+  const auto& from = aEnvelope.sender();
+  const auto senderIncarnation = aEnvelope.sender_incarnation();
+  switch (aEnvelope.body_case()) {
+    case peer::Envelope::kSubRequestBatch:
+      if (Known(aEnvelope)) {
+        router.OnBatch(from, senderIncarnation, aEnvelope.sub_request_batch());
+      }
+      break;
+    case peer::Envelope::kSubResponse:
+      router.OnResponse(from, std::move(*aEnvelope.mutable_sub_response()));
+      break;
+    case peer::Envelope::kCancelSubRequest: {
+      const auto& ids = aEnvelope.cancel_sub_request().attempt_ids();
+      const std::vector<request::AttemptId> attempts(ids.begin(), ids.end());
+      router.OnCancel(from, senderIncarnation, attempts);
+      break;
+    }
+    case peer::Envelope::kTicketForward:
+      if (Known(aEnvelope)) {
+        operations.OnForward(from, aEnvelope.ticket_forward());
+      }
+      break;
+    case peer::Envelope::kTicketOutcome:
+      operations.OnOutcome(aEnvelope.ticket_outcome());
+      break;
+    case peer::Envelope::kQuarantineNotice:
+      if (Known(aEnvelope)) {
+        queries.MergeQuarantine(Decode(aEnvelope.quarantine_notice()));
+      }
+      break;
+    default:
+      control->Receive(std::move(aEnvelope));
+      break;
+  }
+}
+
+void Node::Impl::HandleCaller(HttpRequest aRequest, HttpReply aReply)
+{
+  const auto& path = aRequest.path;
+  if (aRequest.method == "POST" && path == "/v1/query") {
+    queries.Handle(std::move(aRequest.body), std::move(aReply));
+  } else if (aRequest.method == "POST" && path == "/v1/tickets") {
+    operations.HandleTicket(aRequest.body, aReply);
+  } else if (aRequest.method == "POST" && path == "/v1/operations") {
+    operations.HandleOperation(aRequest.body, std::move(aReply));
+  } else if (aRequest.method == "GET" && path == "/v1/addresses") {
+    const auto kind = QueryParameter(aRequest.queryString, "kind");
+    aReply(addresses.Handle(QueryParameter(aRequest.queryString, "customer"),
+                            kind.empty() ? "search" : kind));
+  } else {
+    aReply(ErrorResponse(ResultCode::UnknownPath, path));
+  }
+}
+
+void Node::Impl::HandleAdmin(const HttpRequest& aRequest,
+                             const HttpReply& aReply)
+{
+  const auto& path = aRequest.path;
+  const bool get = aRequest.method == "GET";
+  if (get && path == "/health") {
+    aReply({ 200, R"({"status":"ok"})" });
+  } else if (get && path == "/ready") {
+    const auto code = CheckServing(*fleet.Load());
+    aReply(code == ResultCode::Ok
+             ? HttpResponse{ 200, R"({"status":"ready"})" }
+             : ErrorResponse(code, Describe(code).meaning));
+  } else if (get && path == "/metrics") {
+    aReply({ 200, metrics.Expose(), "text/plain; version=0.0.4" });
+  } else if (get && path == "/v1/state") {
+    control->State([aReply](std::string aBody) {
+      aReply({ 200, std::move(aBody) });
+    });
+  } else if (get && path == "/v1/audit") {
+    aReply({ 200,
+             WriteAudit(audit.After(
+               ParseNumber(QueryParameter(aRequest.queryString, "after")))) });
+  } else if (get && path == "/v1/withdrawal") {
+    control->Withdrawal(
+      ParseNumber(QueryParameter(aRequest.queryString, "version")),
+      [aReply](std::string aBody) {
+        aReply({ 200, std::move(aBody) });
+      });
+  } else if (aRequest.method == "POST" && path == "/v1/explain") {
+    HandleExplain(aRequest.body, aReply);
+  } else if (aRequest.method == "POST" && path == "/v1/fault") {
+    HandleFault(aRequest.body, aReply);
+  } else {
+    aReply(ErrorResponse(ResultCode::UnknownPath, path));
+  }
+}
+
+void Node::Impl::HandleExplain(const std::string& aBody,
+                               const HttpReply& aReply) const
+{
+  const auto snapshot = snapshots.Load();
+  if (!snapshot) {
+    aReply(ErrorResponse(ResultCode::NotRunNoConfiguration,
+                         "no configuration is in force"));
+    return;
+  }
+  boost::leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(request, version::ParseExplainRequest(aBody));
+      aReply({ 200,
+               version::ToJson(version::Explain(
+                 *snapshot, request.caller, request.request)) });
+      return {};
+    },
+    [&](const Error& aError) {
+      aReply({ Describe(aError.code).httpStatus, request::WriteError(aError) });
+    },
+    [&] { aReply(ErrorResponse(ResultCode::Internal, "unknown error")); });
+}
+
+void Node::Impl::HandleFault(const std::string& aBody, const HttpReply& aReply)
+{
+  if (!settings.faultInjection) {
+    aReply(ErrorResponse(ResultCode::UnknownPath,
+                         "the settings do not allow faults"));
+    return;
+  }
+  boost::leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(faults, ParseFaultInjection(aBody));
+      ApplyFaults(faults);
+      control->Audit(AuditKind::FaultInjected, aBody);
+      aReply({ 200, "{}" });
+      return {};
+    },
+    [&](const Error& aError) {
+      aReply({ Describe(aError.code).httpStatus, request::WriteError(aError) });
+    },
+    [&] { aReply(ErrorResponse(ResultCode::Internal, "unknown error")); });
+}
+
+void Node::Impl::ApplyFaults(const FaultInjection& aFaults)
+{
+  // The list replaces the former one: links that it does not name are healed.
+  for (const auto& it : fleet.Load()->members) {
+    transport.SetLoss(it.id, {});
+  }
+  for (const auto& it : aFaults.links) {
+    transport.SetLoss(it.to,
+                      { .seed = aFaults.seed,
+                        .drop = it.drop,
+                        .delay = it.delay,
+                        .cut = it.drop >= 1 });
+  }
+}
+
+void Node::Impl::Tick(TimePoint aNow)
+{
+  executor.Refresh(aNow);
+  router.Expire(aNow);
+  operations.Expire(aNow);
+  queries.Expire(aNow);
+  if (aNow >= nextTraffic) {
+    nextTraffic = aNow + kTrafficInterval;
+    CountTraffic();
+    metrics.Set(Gauge::QueriesInProgress,
+                static_cast<double>(queries.InProgress()));
+    metrics.Set(Gauge::SubRequestsInFlight,
+                static_cast<double>(executor.InFlight()));
+    metrics.Set(Gauge::Quarantined, static_cast<double>(queries.Quarantined()));
+  }
+}
+
+void Node::Impl::SpreadQuarantine()
+{
+  const auto entries = queries.TakeNotices();
+  if (entries.empty()) {
+    return;
+  }
+  peer::Envelope envelope;
+  for (const auto& it : entries) {
+    Encode(it, *envelope.mutable_quarantine_notice());
+  }
+  const auto view = fleet.Load();
+  for (const auto& it : view->members) {
+    if (it.id != settings.instance && it.status != MemberStatus::Dead) {
+      transport.Send(it.id, envelope);
+    }
+  }
+}
+
+void Node::Impl::CountTraffic()
+{
+  std::array<double, 5> sums{};
+  for (const auto& [peer, counts] : transport.Traffic()) {
+    for (std::size_t n = 0; n < connection::kMessageKinds; ++n) {
+      const auto sent = static_cast<double>(counts.sent.at(n).bytes);
+      const auto received = static_cast<double>(counts.received.at(n).bytes);
+      sums[0] += sent;
+      sums[1] += received;
+      if (!connection::IsRequestTraffic(n)) {
+        sums[2] += sent;
+        sums[3] += received;
+      }
+    }
+    sums[4] += static_cast<double>(counts.dropped);
+  }
+  constexpr std::array<Counter, 5> kCounters{ Counter::PeerBytesSent,
+                                              Counter::PeerBytesReceived,
+                                              Counter::PeerControlBytesSent,
+                                              Counter::PeerControlBytesReceived,
+                                              Counter::PeerMessagesDropped };
+  for (std::size_t n = 0; n < sums.size(); ++n) {
+    // The sum falls when a peer leaves the list; counters never do.
+    if (sums.at(n) > traffic.at(n)) {
+      metrics.Add(kCounters.at(n), sums.at(n) - traffic.at(n));
+    }
+    traffic.at(n) = sums.at(n);
+  }
+}
+
+void Node::Impl::AwaitSignal()
+{
+  signals.async_wait([this](boost::system::error_code aError, int) {
+    if (aError) {
+      return;
+    }
+    if (leaving) {
+      LogEvent(LogLevel::Warning, "second signal, ending at once", {});
+      std::_Exit(1);
+    }
+    BeginShutdown();
+    AwaitSignal();
+  });
+}
+
+void Node::Impl::BeginShutdown()
+{
+  leaving = true;
+  shutdownAt = SteadyClock::now();
+  control->BeginLeaving();
+  http->BeginDrain();
+  LogEvent(LogLevel::Info, "shutdown begins", {});
+  PollShutdown();
+}
+
+bool Node::Impl::Drained() const
+{
+  return http->Running() == 0 && queries.InProgress() == 0 &&
+         operations.InProgress() == 0 && router.Outstanding() == 0 &&
+         executor.InFlight() == 0 && control->Released();
+}
+
+void Node::Impl::PollShutdown()
+{
+  const auto age = SteadyClock::now() - shutdownAt;
+  if (age >= settings.shutdownLinger) {
+    http->StopAccepting();
+    if (Drained() || age >= kLongestShutdown) {
+      LogEvent(LogLevel::Info,
+               "shutdown complete",
+               { { "drained", Drained() ? "yes" : "no" } });
+      control->Stop();
+      admin->StopAccepting();
+      context.stop();
+      return;
+    }
+  }
+  shutdownTimer.expires_after(kShutdownPoll);
+  shutdownTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      PollShutdown();
+    }
+  });
+}
+
+Node::Node(Settings aSettings)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+Node::~Node()
+{
+  mImpl->transport.Shutdown();
+}
+
+int Node::Run()
+{
+  mImpl->signals.add(SIGTERM);
+  mImpl->signals.add(SIGINT);
+  mImpl->AwaitSignal();
+  mImpl->Open();
+  const auto guard = boost::asio::make_work_guard(mImpl->context);
+  std::vector<std::thread> threads;
+  for (unsigned n = 1; n < mImpl->settings.threads; ++n) {
+    threads.emplace_back([this] { mImpl->context.run(); });
+  }
+  mImpl->context.run();
+  for (auto& it : threads) {
+    it.join();
+  }
+  return 0;
+}
+
+} // namespace bronzedeal::daemon
--- a/src/daemon/operation_service.cpp
+++ b/src/daemon/operation_service.cpp
@@ -169,10 +169,9 @@
     use = tickets.Redeem(ticket, fingerprint, waiter, SteadyClock::now());
     if (!std::holds_alternative<TicketTable::Answer>(use)) {
       // The first use waits in the same way as a duplicate.
-      waiters.emplace(std::holds_alternative<TicketTable::Run>(use)
-                        ? ~ticket.number
-                        : waiter,
-                      std::move(aHandler));
+      waiters.emplace(
+        std::holds_alternative<TicketTable::Run>(use) ? ~ticket.number : waiter,
+        std::move(aHandler));
     }
   }
   if (const auto* answer = std::get_if<TicketTable::Answer>(&use)) {
@@ -250,11 +249,9 @@
     attempt = nextAttempt++;
     attempts.emplace(attempt, aRunning);
   }
-  const RoutedAttempt routed{ attempt,
-                              aRunning->request.shard,
-                              replica.server,
-                              replica.slice,
-                              false };
+  const RoutedAttempt routed{
+    attempt, aRunning->request.shard, replica.server, replica.slice, false
+  };
   router.Send(aRunning->context, { &routed, 1 }, true);
 }
 
@@ -296,8 +293,7 @@
   const auto view = fleet.Load();
   const auto* member = view->Find(issuer);
   // A record of another, later incarnation proves that the issuer has ended.
-  if (member == nullptr ||
-      member->incarnation > aRequest.ticket.incarnation) {
+  if (member == nullptr || member->incarnation > aRequest.ticket.incarnation) {
     aHandler({ ResultCode::OutcomeUnknownIssuerGone, {} });
     return;
   }
@@ -307,19 +303,18 @@
     const std::lock_guard lock(mutex);
     const auto id = nextForward++;
     forward.set_forward_id(id);
-    forwards.emplace(id,
-                     Forwarded{ issuer,
-                                SteadyClock::now() + aRequest.deadline +
-                                  kForwardGrace,
-                                aHandler });
+    forwards.emplace(
+      id,
+      Forwarded{ issuer,
+                 SteadyClock::now() + aRequest.deadline + kForwardGrace,
+                 aHandler });
   }
   const auto id = forward.forward_id();
   forward.set_ticket(ToString(aRequest.ticket));
   forward.set_body(aBody);
   if (!transport.Send(issuer, std::move(envelope))) {
-    EndForwards([&](const Forwarded& aEntry) {
-      return &aEntry == &forwards.at(id);
-    });
+    EndForwards(
+      [&](const Forwarded& aEntry) { return &aEntry == &forwards.at(id); });
   }
 }
 
--- a/src/daemon/owner_executor.cpp
+++ b/src/daemon/owner_executor.cpp
@@ -28,8 +28,8 @@
        bool aColdRamp,
        Hooks aHooks)
     : timer(aContext)
-    , environment{ aContext,  aSnapshots, aLeases,
-                   aLedger,   aColdRamp,  std::move(aHooks) }
+    , environment{ aContext, aSnapshots, aLeases,
+                   aLedger,  aColdRamp,  std::move(aHooks) }
   {
   }
 
--- a/src/daemon/query_service.cpp
+++ b/src/daemon/query_service.cpp
@@ -1,5 +1,6 @@
 #include "bronzedeal/daemon/query_service.hpp"
 
+#include "address_service.hpp"
 #include "bronzedeal/request/admission.hpp"
 #include "bronzedeal/request/caller_request.hpp"
 #include "bronzedeal/request/hedge_budget.hpp"
@@ -130,8 +131,7 @@
     },
     [&](const Error& aError) {
       metrics.Add(Counter::QueriesRefused);
-      query->reply(
-        { Describe(aError.code).httpStatus, WriteError(aError) });
+      query->reply({ Describe(aError.code).httpStatus, WriteError(aError) });
       return false;
     },
     [&] {
@@ -142,8 +142,8 @@
     return;
   }
   query->deadline = query->start + query->request.deadline;
-  query->fingerprint = FingerprintOf(query->request.request.at("kind"),
-                                     query->request.query);
+  query->fingerprint =
+    FingerprintOf(query->request.request.at("kind"), query->request.query);
   const auto customer = query->request.caller.find("customer");
   query->admissionKey =
     customer == query->request.caller.end() ? "" : customer->second;
@@ -262,8 +262,7 @@
   shared->payload = std::make_shared<const std::string>(aQuery->request.query);
   shared->fingerprint = aQuery->fingerprint;
   aQuery->context = std::move(shared);
-  aQuery->token =
-    ledger.Begin(plan->configVersion, {}, {}, WorkKind::Admitted);
+  aQuery->token = ledger.Begin(plan->configVersion, {}, {}, WorkKind::Admitted);
 
   QueryOptions options;
   options.deadline = aQuery->deadline;
@@ -440,7 +439,8 @@
     }
   }
   const auto snapshot = snapshots.Load();
-  if (aAnswer.restartWorthwhile && !aQuery->restarted && now < aQuery->deadline &&
+  if (aAnswer.restartWorthwhile && !aQuery->restarted &&
+      now < aQuery->deadline &&
       snapshot->Content().index.serving > aAnswer.indexVersion) {
     Begin(Restart(aQuery));
     return;
@@ -452,7 +452,8 @@
   } else {
     metrics.Add(Counter::QueriesRefused);
   }
-  metrics.ObserveQuery(std::chrono::duration<double>(now - aQuery->start).count());
+  metrics.ObserveQuery(
+    std::chrono::duration<double>(now - aQuery->start).count());
   aQuery->reply({ Describe(aAnswer.code).httpStatus,
                   WriteQueryAnswer(aQuery->id, aAnswer) });
   End(aQuery);
@@ -461,8 +462,11 @@
 void QueryService::Impl::Refuse(const QueryPtr& aQuery, ResultCode aCode)
 {
   metrics.Add(Counter::QueriesRefused);
-  aQuery->reply(
-    { Describe(aCode).httpStatus, WriteRefusal(aQuery->id, aCode) });
+  const bool useOther = aCode == ResultCode::NotRunFenced ||
+                        aCode == ResultCode::NotRunNoConfiguration;
+  aQuery->reply(useOther ? RefuseWithAddresses(aQuery->id, aCode, *fleet.Load())
+                         : HttpResponse{ Describe(aCode).httpStatus,
+                                         WriteRefusal(aQuery->id, aCode) });
 }
 
 void QueryService::Impl::End(const QueryPtr& aQuery)
--- a/src/daemon/server_agent.cpp
+++ b/src/daemon/server_agent.cpp
@@ -196,8 +196,8 @@
                                                context.selector,
                                                mServer.failureDomain,
                                                WorkKind::Queued);
-    const auto code = mLimiter.Draining() ? ResultCode::NotRunLeaving
-                                          : Check(*attempt, now);
+    const auto code =
+      mLimiter.Draining() ? ResultCode::NotRunLeaving : Check(*attempt, now);
     if (code != ResultCode::Ok) {
       Refuse(attempt, code, deferred);
     } else {
@@ -268,10 +268,9 @@
 {
   const auto& context = *aAttempt->request.context;
   connection::SendRequest request;
-  request.target =
-    fmt::format("/v1/shards/{}/{}",
-                aAttempt->request.shard,
-                context.nonRepeatable ? "operations" : "search");
+  request.target = fmt::format("/v1/shards/{}/{}",
+                               aAttempt->request.shard,
+                               context.nonRepeatable ? "operations" : "search");
   const auto remaining = std::chrono::duration_cast<milliseconds>(
     context.deadline - SteadyClock::now());
   request.headers = {
@@ -308,10 +307,10 @@
                                                    : WorkKind::InFlight);
     return true;
   };
-  request.handler = [self = shared_from_this(), id, aAttempt](
-                      SendResult&& aResult) {
-    self->OnResult(id, aAttempt, std::move(aResult));
-  };
+  request.handler =
+    [self = shared_from_this(), id, aAttempt](SendResult&& aResult) {
+      self->OnResult(id, aAttempt, std::move(aResult));
+    };
   request.ended = [self = shared_from_this(), id, aAttempt](AttemptEnd aEnd,
                                                             Duration aLatency) {
     self->OnEnded(id, aAttempt, aEnd, aLatency);
--- a/src/daemon/server_agent.hpp
+++ b/src/daemon/server_agent.hpp
@@ -79,7 +79,9 @@
   [[nodiscard]] request::ServerLoad Load() const;
   /// Ok, or why the attempt must not be sent now.
   [[nodiscard]] ResultCode Check(const Attempt& aAttempt, TimePoint aNow) const;
-  void Refuse(const AttemptPtr& aAttempt, ResultCode aCode, Deferred& aDeferred);
+  void Refuse(const AttemptPtr& aAttempt,
+              ResultCode aCode,
+              Deferred& aDeferred);
   void RefuseQueued(const std::vector<connection::QueueEntry>& aEntries,
                     ResultCode aCode,
                     Deferred& aDeferred);
