--- /dev/null
+++ b/include/bronzedeal/daemon/lease_table.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "bronzedeal/types.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace bronzedeal::daemon {
+
+/// The slices that this instance may send to and until when. Written by the
+/// control plane, read right before each send. Thread safe.
+class LeaseTable
+{
+public:
+  using Limits = std::map<SliceId, TimePoint>;
+
+  void Publish(const std::vector<std::pair<SliceId, TimePoint>>& aSendable)
+  {
+    mLimits.store(
+      std::make_shared<const Limits>(aSendable.begin(), aSendable.end()));
+  }
+
+  [[nodiscard]] bool MaySend(const SliceId& aSlice,
+                             TimePoint aNow) const noexcept
+  {
+    const auto limits = mLimits.load();
+    const auto it = limits->find(aSlice);
+    return it != limits->end() && aNow < it->second;
+  }
+
+  [[nodiscard]] std::shared_ptr<const Limits> Load() const noexcept
+  {
+    return mLimits.load();
+  }
+
+private:
+  std::atomic<std::shared_ptr<const Limits>> mLimits{
+    std::make_shared<const Limits>()
+  };
+};
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/src/daemon/attempt_router.cpp
@@ -0,0 +1,345 @@
+#include "bronzedeal/daemon/attempt_router.hpp"
+
+#include "bronzedeal/daemon/codec.hpp"
+#include "bronzedeal/peer.pb.h"
+
+#include <map>
+#include <mutex>
+#include <unordered_map>
+
+namespace bronzedeal::daemon {
+
+using process::Counter;
+using version::WorkKind;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+// A response may arrive this long after the deadline; a lost one is given up.
+constexpr milliseconds kResponseGrace{ 250 };
+
+std::uint64_t RemainingUs(TimePoint aDeadline)
+{
+  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
+    aDeadline - SteadyClock::now());
+  return static_cast<std::uint64_t>(
+    std::max<std::chrono::microseconds::rep>(left.count(), 0));
+}
+
+void EncodeContext(const AttemptContext& aContext,
+                   bool aCanary,
+                   peer::SubRequestBatch& aOut)
+{
+  aOut.set_config_version(aContext.configVersion);
+  aOut.set_index_version(aContext.indexVersion);
+  aOut.set_remaining_us(RemainingUs(aContext.deadline));
+  for (const auto& [key, value] : aContext.caller) {
+    (*aOut.mutable_caller())[key] = value;
+  }
+  for (const auto& [key, value] : aContext.request) {
+    (*aOut.mutable_request())[key] = value;
+  }
+  aOut.set_payload(*aContext.payload);
+  aOut.set_fingerprint(std::string(EncodeFingerprint(aContext.fingerprint)));
+  aOut.set_non_repeatable(aContext.nonRepeatable);
+  aOut.set_selector(aContext.selector);
+  aOut.set_canary(aCanary);
+}
+
+std::shared_ptr<const AttemptContext> DecodeContext(
+  const peer::SubRequestBatch& aBatch)
+{
+  auto context = std::make_shared<AttemptContext>();
+  context->configVersion = aBatch.config_version();
+  context->indexVersion = aBatch.index_version();
+  context->deadline =
+    SteadyClock::now() + std::chrono::microseconds(aBatch.remaining_us());
+  context->caller.insert(aBatch.caller().begin(), aBatch.caller().end());
+  context->request.insert(aBatch.request().begin(), aBatch.request().end());
+  context->payload = std::make_shared<const std::string>(aBatch.payload());
+  if (!DecodeFingerprint(aBatch.fingerprint(), context->fingerprint)) {
+    return nullptr;
+  }
+  context->nonRepeatable = aBatch.non_repeatable();
+  context->selector = aBatch.selector();
+  return context;
+}
+
+} // namespace
+
+struct AttemptRouter::Impl
+{
+  /// An attempt that waits for a peer's response.
+  struct Forwarded
+  {
+    InstanceId peer;
+    bool nonRepeatable = false;
+    /// When the response is no longer waited for.
+    TimePoint expiresAt;
+    version::WorkLedger::Token token;
+  };
+
+  InstanceId self;
+  Incarnation incarnation;
+  const FleetViewHolder& fleet;
+  OwnerExecutor& executor;
+  connection::PeerTransport& transport;
+  version::WorkLedger& ledger;
+  process::Metrics& metrics;
+  ResultHandler handler;
+  mutable std::mutex mutex;
+  std::unordered_map<request::AttemptId, Forwarded> forwarded;
+
+  void Report(request::AttemptId aAttempt, ResultCode aCode) const
+  {
+    handler(aAttempt, { aCode, {}, {}, {} });
+  }
+
+  /// Removes an outstanding attempt; false when it is not known any more.
+  bool Take(request::AttemptId aAttempt, const InstanceId* aPeer)
+  {
+    const std::lock_guard lock(mutex);
+    const auto it = forwarded.find(aAttempt);
+    if (it == forwarded.end() ||
+        (aPeer != nullptr && it->second.peer != *aPeer)) {
+      return false;
+    }
+    forwarded.erase(it);
+    return true;
+  }
+
+  using Lost = std::vector<std::pair<request::AttemptId, bool>>;
+
+  /// Removes the outstanding attempts that a predicate chooses.
+  template<typename Predicate>
+  Lost TakeIf(Predicate aPredicate)
+  {
+    Lost lost;
+    const std::lock_guard lock(mutex);
+    std::erase_if(forwarded, [&](const auto& aEntry) {
+      const bool taken = aPredicate(aEntry.second);
+      if (taken) {
+        lost.emplace_back(aEntry.first, aEntry.second.nonRepeatable);
+      }
+      return taken;
+    });
+    return lost;
+  }
+
+  /// Reports attempts that the owner may or may not have executed.
+  void ReportLost(const Lost& aLost, ResultCode aCode) const
+  {
+    for (const auto& [attempt, nonRepeatable] : aLost) {
+      Report(attempt, nonRepeatable ? ResultCode::OutcomeUnknown : aCode);
+    }
+  }
+
+  void SendLocal(const std::shared_ptr<const AttemptContext>& aContext,
+                 const RoutedAttempt& aAttempt)
+  {
+    metrics.Add(Counter::SubRequestsLocal);
+    executor.Execute({ { self, incarnation, aAttempt.attempt },
+                       aContext,
+                       aAttempt.shard,
+                       aAttempt.server,
+                       aAttempt.hedge },
+                     [this, attempt = aAttempt.attempt](OwnerResult aResult) {
+                       handler(attempt, std::move(aResult));
+                     });
+  }
+
+  void SendRemote(const InstanceId& aPeer,
+                  const std::shared_ptr<const AttemptContext>& aContext,
+                  std::span<const RoutedAttempt* const> aAttempts,
+                  bool aCanary)
+  {
+    peer::Envelope envelope;
+    auto& batch = *envelope.mutable_sub_request_batch();
+    EncodeContext(*aContext, aCanary, batch);
+    {
+      const std::lock_guard lock(mutex);
+      for (const auto* it : aAttempts) {
+        auto& item = *batch.add_items();
+        item.set_attempt_id(it->attempt);
+        item.set_shard(it->shard);
+        item.set_server(it->server);
+        item.set_hedge(it->hedge);
+        forwarded[it->attempt] = { aPeer,
+                                   aContext->nonRepeatable,
+                                   aContext->deadline + kResponseGrace,
+                                   ledger.Begin(aContext->configVersion,
+                                                aContext->selector,
+                                                it->slice.failureDomain,
+                                                WorkKind::Forwarded) };
+      }
+    }
+    metrics.Add(Counter::SubRequestsForwarded,
+                static_cast<double>(aAttempts.size()));
+    if (transport.Send(aPeer, std::move(envelope))) {
+      return;
+    }
+    for (const auto* it : aAttempts) {
+      if (Take(it->attempt, nullptr)) {
+        Report(it->attempt, ResultCode::NotRunNoOwner);
+      }
+    }
+  }
+};
+
+AttemptRouter::AttemptRouter(InstanceId aSelf,
+                             Incarnation aIncarnation,
+                             const FleetViewHolder& aFleet,
+                             OwnerExecutor& aExecutor,
+                             connection::PeerTransport& aTransport,
+                             version::WorkLedger& aLedger,
+                             process::Metrics& aMetrics)
+  : mImpl(new Impl{ std::move(aSelf),
+                    aIncarnation,
+                    aFleet,
+                    aExecutor,
+                    aTransport,
+                    aLedger,
+                    aMetrics,
+                    {},
+                    {},
+                    {} })
+{
+}
+
+AttemptRouter::~AttemptRouter() = default;
+
+void AttemptRouter::SetResultHandler(ResultHandler aHandler)
+{
+  mImpl->handler = std::move(aHandler);
+}
+
+void AttemptRouter::Send(const std::shared_ptr<const AttemptContext>& aContext,
+                         std::span<const RoutedAttempt> aAttempts,
+                         bool aCanary)
+{
+  const auto fleet = mImpl->fleet.Load();
+  std::map<InstanceId, std::vector<const RoutedAttempt*>> remote;
+  for (const auto& it : aAttempts) {
+    const auto* owner = fleet->OwnerOf(it.slice);
+    if (owner == nullptr) {
+      mImpl->Report(it.attempt, ResultCode::NotRunNoOwner);
+    } else if (*owner == mImpl->self) {
+      mImpl->SendLocal(aContext, it);
+    } else {
+      remote[*owner].push_back(&it);
+    }
+  }
+  for (const auto& [peer, attempts] : remote) {
+    mImpl->SendRemote(peer, aContext, attempts, aCanary);
+  }
+}
+
+void AttemptRouter::Cancel(std::span<const request::AttemptId> aAttempts)
+{
+  std::map<InstanceId, peer::Envelope> envelopes;
+  std::vector<request::AttemptId> local;
+  {
+    const std::lock_guard lock(mImpl->mutex);
+    for (const auto it : aAttempts) {
+      const auto found = mImpl->forwarded.find(it);
+      if (found == mImpl->forwarded.end()) {
+        local.push_back(it);
+        continue;
+      }
+      envelopes[found->second.peer]
+        .mutable_cancel_sub_request()
+        ->add_attempt_ids(it);
+      // The owner counts the attempt until its server confirms the end.
+      found->second.token.Change(WorkKind::Unconfirmed);
+    }
+  }
+  for (auto& [peer, envelope] : envelopes) {
+    mImpl->transport.Send(peer, std::move(envelope));
+  }
+  for (const auto it : local) {
+    mImpl->executor.Cancel({ mImpl->self, mImpl->incarnation, it });
+  }
+}
+
+void AttemptRouter::OnBatch(const InstanceId& aFrom,
+                            Incarnation aIncarnation,
+                            const peer::SubRequestBatch& aBatch)
+{
+  const auto context = DecodeContext(aBatch);
+  if (!context) {
+    return;
+  }
+  for (const auto& it : aBatch.items()) {
+    OwnerAttempt attempt{ { aFrom, aIncarnation, it.attempt_id() },
+                          context,
+                          it.shard(),
+                          it.server(),
+                          it.hedge() };
+    mImpl->executor.Execute(
+      std::move(attempt),
+      [this, from = aFrom, id = it.attempt_id(), server = it.server()](
+        OwnerResult aResult) {
+        mImpl->metrics.Add(IsNotRun(aResult.code) ? Counter::SubRequestsRefused
+                                                  : Counter::SubRequestsServed);
+        peer::Envelope envelope;
+        auto& response = *envelope.mutable_sub_response();
+        response.set_attempt_id(id);
+        response.set_code(static_cast<int>(aResult.code));
+        response.set_body(std::move(aResult.body));
+        response.set_server(server);
+        Encode(aResult.load, *response.mutable_load());
+        response.set_elapsed_us(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::microseconds>(aResult.elapsed)
+            .count()));
+        mImpl->transport.Send(from, std::move(envelope));
+      });
+  }
+}
+
+void AttemptRouter::OnCancel(const InstanceId& aFrom,
+                             Incarnation aIncarnation,
+                             std::span<const request::AttemptId> aAttempts)
+{
+  for (const auto it : aAttempts) {
+    mImpl->executor.Cancel({ aFrom, aIncarnation, it });
+  }
+}
+
+void AttemptRouter::OnResponse(const InstanceId& aFrom,
+                               peer::SubResponse&& aResponse)
+{
+  if (!mImpl->Take(aResponse.attempt_id(), &aFrom)) {
+    mImpl->metrics.Add(Counter::LateResponses);
+    return;
+  }
+  OwnerResult result;
+  result.code = static_cast<ResultCode>(aResponse.code());
+  result.body = std::move(*aResponse.mutable_body());
+  result.load = Decode(aResponse.load());
+  result.elapsed = std::chrono::microseconds(aResponse.elapsed_us());
+  mImpl->handler(aResponse.attempt_id(), std::move(result));
+}
+
+void AttemptRouter::OnBreak(const InstanceId& aPeer)
+{
+  mImpl->ReportLost(mImpl->TakeIf([&](const Impl::Forwarded& aEntry) {
+    return aEntry.peer == aPeer;
+  }),
+                    ResultCode::ShardServerLost);
+}
+
+void AttemptRouter::Expire(TimePoint aNow)
+{
+  mImpl->ReportLost(mImpl->TakeIf([&](const Impl::Forwarded& aEntry) {
+    return aEntry.expiresAt <= aNow;
+  }),
+                    ResultCode::ShardTimeout);
+}
+
+std::size_t AttemptRouter::Outstanding() const
+{
+  const std::lock_guard lock(mImpl->mutex);
+  return mImpl->forwarded.size();
+}
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/src/daemon/codec.cpp
@@ -0,0 +1,311 @@
+#include "bronzedeal/daemon/codec.hpp"
+
+#include "bronzedeal/peer.pb.h"
+
+#include <algorithm>
+
+namespace bronzedeal::daemon {
+
+using namespace process;
+
+namespace {
+
+std::string_view Bytes(const ConfigHash& aHash)
+{
+  return { reinterpret_cast<const char*>(aHash.data()), aHash.size() };
+}
+
+ConfigHash Hash(std::string_view aBytes)
+{
+  ConfigHash hash{};
+  const auto n = std::min(aBytes.size(), hash.size());
+  std::copy_n(aBytes.begin(), n, hash.begin());
+  return hash;
+}
+
+std::uint32_t Ms(milliseconds aValue)
+{
+  return static_cast<std::uint32_t>(
+    std::max<milliseconds::rep>(aValue.count(), 0));
+}
+
+template<typename Proto>
+void EncodeSlice(const SliceId& aSlice, Proto& aOut)
+{
+  aOut.set_failure_domain(aSlice.failureDomain);
+  aOut.set_number(aSlice.number);
+}
+
+template<typename Proto>
+SliceId DecodeSlice(const Proto& aIn)
+{
+  return { aIn.failure_domain(), aIn.number() };
+}
+
+void EncodeMember(const Member& aMember, peer::MemberRecord& aOut)
+{
+  aOut.set_id(aMember.id);
+  aOut.set_incarnation(aMember.incarnation);
+  aOut.set_sequence(aMember.sequence);
+  aOut.set_status(static_cast<std::uint32_t>(aMember.status));
+  aOut.set_config_version(aMember.configVersion);
+  aOut.set_config_hash(std::string(Bytes(aMember.configHash)));
+  aOut.set_roster_revision(aMember.rosterRevision);
+  aOut.set_fenced(aMember.fenced);
+  for (const auto& it : aMember.slices) {
+    EncodeSlice(it, *aOut.add_slices());
+  }
+  aOut.set_oldest_active_version(aMember.oldestActiveVersion);
+}
+
+Member DecodeMember(const peer::MemberRecord& aIn)
+{
+  Member member;
+  member.id = aIn.id();
+  member.incarnation = aIn.incarnation();
+  member.sequence = aIn.sequence();
+  member.status =
+    static_cast<MemberStatus>(std::min<std::uint32_t>(aIn.status(), 3));
+  member.configVersion = aIn.config_version();
+  member.configHash = Hash(aIn.config_hash());
+  member.rosterRevision = aIn.roster_revision();
+  member.fenced = aIn.fenced();
+  for (const auto& it : aIn.slices()) {
+    member.slices.push_back(DecodeSlice(it));
+  }
+  member.oldestActiveVersion = aIn.oldest_active_version();
+  return member;
+}
+
+struct Encoder
+{
+  peer::Envelope& out;
+
+  void operator()(const GossipMessage& aMessage) const
+  {
+    auto& gossip = *out.mutable_gossip();
+    gossip.set_kind(static_cast<std::uint32_t>(aMessage.kind));
+    gossip.set_probe(aMessage.probe);
+    gossip.set_target(aMessage.target);
+    for (const auto& it : aMessage.records) {
+      EncodeMember(it, *gossip.add_records());
+    }
+    for (const auto& it : aMessage.progress) {
+      auto& group = *gossip.add_progress();
+      group.set_config_version(it.configVersion);
+      group.set_config_hash(std::string(Bytes(it.configHash)));
+      group.set_roster_revision(it.rosterRevision);
+      group.set_oldest_active_version(it.oldestActiveVersion);
+      group.mutable_members()->Add(it.members.begin(), it.members.end());
+      group.mutable_sequences()->Add(it.sequences.begin(), it.sequences.end());
+    }
+  }
+
+  void operator()(const LeaseRequestMessage& aMessage) const
+  {
+    auto& request = *out.mutable_lease_request();
+    EncodeSlice(aMessage.slice, request);
+    request.set_request_id(aMessage.requestId);
+    request.set_config_version(aMessage.configVersion);
+    request.set_roster_revision(aMessage.rosterRevision);
+    request.set_duration_ms(Ms(aMessage.duration));
+    request.set_max_work_ms(Ms(aMessage.maxWork));
+  }
+
+  void operator()(const LeaseReplyMessage& aMessage) const
+  {
+    auto& reply = *out.mutable_lease_reply();
+    EncodeSlice(aMessage.slice, reply);
+    reply.set_request_id(aMessage.requestId);
+    reply.set_answer(static_cast<std::uint32_t>(aMessage.answer));
+    reply.set_config_version(aMessage.configVersion);
+    reply.set_roster_revision(aMessage.rosterRevision);
+    reply.set_clean_handover(aMessage.cleanHandover);
+    reply.set_wait_ms(Ms(aMessage.wait));
+  }
+
+  void operator()(const LeaseReleaseMessage& aMessage) const
+  {
+    auto& release = *out.mutable_lease_release();
+    EncodeSlice(aMessage.slice, release);
+    release.set_request_id(aMessage.requestId);
+    release.set_clean(aMessage.clean);
+  }
+
+  void operator()(const ConfigPullMessage& aMessage) const
+  {
+    auto& pull = *out.mutable_config_pull();
+    pull.set_have_version(aMessage.haveVersion);
+    pull.set_have_hash(std::string(Bytes(aMessage.haveHash)));
+  }
+
+  void operator()(const ConfigContentMessage& aMessage) const
+  {
+    auto& content = *out.mutable_config_content();
+    content.set_version(aMessage.version);
+    content.set_hash(std::string(Bytes(aMessage.hash)));
+    content.set_base_version(aMessage.baseVersion);
+    content.set_text(aMessage.text);
+  }
+};
+
+GossipMessage DecodeGossip(const peer::Gossip& aIn)
+{
+  GossipMessage message;
+  message.kind =
+    static_cast<GossipKind>(std::min<std::uint32_t>(aIn.kind(), 4));
+  message.probe = aIn.probe();
+  message.target = aIn.target();
+  for (const auto& it : aIn.records()) {
+    message.records.push_back(DecodeMember(it));
+  }
+  for (const auto& it : aIn.progress()) {
+    if (it.members_size() != it.sequences_size()) {
+      continue;
+    }
+    ProgressGroup group;
+    group.configVersion = it.config_version();
+    group.configHash = Hash(it.config_hash());
+    group.rosterRevision = it.roster_revision();
+    group.oldestActiveVersion = it.oldest_active_version();
+    group.members.assign(it.members().begin(), it.members().end());
+    group.sequences.assign(it.sequences().begin(), it.sequences().end());
+    message.progress.push_back(std::move(group));
+  }
+  return message;
+}
+
+LeaseRequestMessage DecodeLeaseRequest(const peer::LeaseRequest& aIn)
+{
+  LeaseRequestMessage message;
+  message.slice = DecodeSlice(aIn);
+  message.requestId = aIn.request_id();
+  message.configVersion = aIn.config_version();
+  message.rosterRevision = aIn.roster_revision();
+  message.duration = milliseconds(aIn.duration_ms());
+  message.maxWork = milliseconds(aIn.max_work_ms());
+  return message;
+}
+
+LeaseReplyMessage DecodeLeaseReply(const peer::LeaseReply& aIn)
+{
+  LeaseReplyMessage message;
+  message.slice = DecodeSlice(aIn);
+  message.requestId = aIn.request_id();
+  message.answer =
+    static_cast<LeaseAnswer>(std::min<std::uint32_t>(aIn.answer(), 4));
+  message.configVersion = aIn.config_version();
+  message.rosterRevision = aIn.roster_revision();
+  message.cleanHandover = aIn.clean_handover();
+  message.wait = milliseconds(aIn.wait_ms());
+  return message;
+}
+
+ConfigContentMessage DecodeContent(const peer::ConfigContent& aIn)
+{
+  ConfigContentMessage message;
+  message.version = aIn.version();
+  message.hash = Hash(aIn.hash());
+  message.baseVersion = aIn.base_version();
+  message.text = aIn.text();
+  return message;
+}
+
+} // namespace
+
+peer::Envelope Encode(const Message& aMessage)
+{
+  peer::Envelope envelope;
+  std::visit(Encoder{ envelope }, aMessage);
+  return envelope;
+}
+
+std::optional<Message> Decode(const peer::Envelope& aEnvelope)
+{
+  switch (aEnvelope.body_case()) {
+    case peer::Envelope::kGossip:
+      return DecodeGossip(aEnvelope.gossip());
+    case peer::Envelope::kLeaseRequest:
+      return DecodeLeaseRequest(aEnvelope.lease_request());
+    case peer::Envelope::kLeaseReply:
+      return DecodeLeaseReply(aEnvelope.lease_reply());
+    case peer::Envelope::kLeaseRelease: {
+      const auto& in = aEnvelope.lease_release();
+      return LeaseReleaseMessage{ DecodeSlice(in),
+                                  in.request_id(),
+                                  in.clean() };
+    }
+    case peer::Envelope::kConfigPull: {
+      const auto& in = aEnvelope.config_pull();
+      return ConfigPullMessage{ in.have_version(), Hash(in.have_hash()) };
+    }
+    case peer::Envelope::kConfigContent:
+      return DecodeContent(aEnvelope.config_content());
+    default:
+      return std::nullopt;
+  }
+}
+
+void Encode(const request::ServerLoad& aLoad, peer::ServerLoad& aOut)
+{
+  aOut.set_in_flight(aLoad.inFlight);
+  aOut.set_queued(aLoad.queued);
+  aOut.set_allowance(aLoad.allowance);
+  aOut.set_slots(aLoad.slots);
+  aOut.set_leaving(aLoad.leaving);
+}
+
+request::ServerLoad Decode(const peer::ServerLoad& aLoad)
+{
+  return { aLoad.in_flight(),
+           aLoad.queued(),
+           aLoad.allowance(),
+           aLoad.slots(),
+           aLoad.leaving() };
+}
+
+void Encode(const request::QuarantineEntry& aEntry,
+            peer::QuarantineNotice& aOut)
+{
+  auto& entry = *aOut.add_entries();
+  entry.set_fingerprint(std::string(EncodeFingerprint(aEntry.fingerprint)));
+  for (const auto& it : aEntry.servers) {
+    entry.add_servers(it);
+  }
+  entry.set_remaining_ms(Ms(aEntry.remaining));
+}
+
+std::vector<request::QuarantineEntry> Decode(
+  const peer::QuarantineNotice& aNotice)
+{
+  std::vector<request::QuarantineEntry> entries;
+  for (const auto& it : aNotice.entries()) {
+    request::QuarantineEntry entry;
+    if (!DecodeFingerprint(it.fingerprint(), entry.fingerprint)) {
+      continue;
+    }
+    entry.servers.assign(it.servers().begin(), it.servers().end());
+    entry.remaining = milliseconds(it.remaining_ms());
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+bool DecodeFingerprint(std::string_view aBytes,
+                       request::Fingerprint& aOut) noexcept
+{
+  if (aBytes.size() != aOut.size()) {
+    return false;
+  }
+  std::copy(aBytes.begin(), aBytes.end(), aOut.begin());
+  return true;
+}
+
+std::string_view EncodeFingerprint(
+  const request::Fingerprint& aFingerprint) noexcept
+{
+  return { reinterpret_cast<const char*>(aFingerprint.data()),
+           aFingerprint.size() };
+}
+
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/src/daemon/query_service.cpp
@@ -0,0 +1,622 @@
+#include "bronzedeal/daemon/query_service.hpp"
+
+#include "address_service.hpp"
+#include "bronzedeal/request/admission.hpp"
+#include "bronzedeal/request/caller_request.hpp"
+#include "bronzedeal/request/hedge_budget.hpp"
+#include "bronzedeal/request/latency_digest.hpp"
+#include "bronzedeal/request/query_run.hpp"
+#include "bronzedeal/request/replica_chooser.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+#include <mutex>
+#include <random>
+#include <unordered_map>
+
+namespace bronzedeal::daemon {
+
+using namespace request;
+using process::Counter;
+using version::WorkKind;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t kMaxNotices = 64;
+// Attempt numbers: the upper bits name the run of a query.
+constexpr unsigned kRunShift = 16;
+
+} // namespace
+
+ResultCode CheckServing(const FleetView& aFleet)
+{
+  if (!aFleet.ready) {
+    return ResultCode::NotRunNoConfiguration;
+  }
+  return aFleet.fenced ? ResultCode::NotRunFenced : ResultCode::Ok;
+}
+
+/// One query from admission to its answer.
+struct ActiveQuery
+{
+  std::string id;
+  HttpReply reply;
+  QueryRequest request;
+  std::string admissionKey;
+  Fingerprint fingerprint{};
+  ContentState content = ContentState::Unproven;
+  TimePoint start;
+  TimePoint deadline;
+  bool restarted = false;
+  std::shared_ptr<const AttemptContext> context;
+  version::WorkLedger::Token token;
+  std::optional<QueryRun> run;
+  std::uint64_t runNumber = 0;
+  std::unique_ptr<boost::asio::steady_timer> timer;
+  std::optional<TimePoint> armed;
+};
+
+struct QueryService::Impl
+{
+  using QueryPtr = std::shared_ptr<ActiveQuery>;
+
+  Impl(boost::asio::io_context& aContext,
+       const process::Settings& aSettings,
+       const version::SnapshotHolder& aSnapshots,
+       const FleetViewHolder& aFleet,
+       AttemptRouter& aRouter,
+       version::WorkLedger& aLedger,
+       process::Metrics& aMetrics)
+    : context(aContext)
+    , settings(aSettings)
+    , snapshots(aSnapshots)
+    , fleet(aFleet)
+    , router(aRouter)
+    , ledger(aLedger)
+    , metrics(aMetrics)
+    , chooser(std::mt19937_64(std::random_device{}()))
+    , admissionTimer(aContext)
+  {
+  }
+
+  void Handle(std::string aBody, HttpReply aReply);
+  void Offer(const QueryPtr& aQuery);
+  void Apply(const std::vector<Admission::Action>& aActions);
+  void ArmAdmission();
+  void Begin(const QueryPtr& aQuery);
+  void Perform(const QueryPtr& aQuery, std::vector<QueryAction> aActions);
+  void Complete(const QueryPtr& aQuery, QueryAnswer aAnswer);
+  QueryPtr Restart(const QueryPtr& aQuery);
+  void Refuse(const QueryPtr& aQuery, ResultCode aCode);
+  void End(const QueryPtr& aQuery);
+  void ArmTimer(const QueryPtr& aQuery);
+  void OnTimer(const QueryPtr& aQuery);
+  void OnResult(AttemptId aAttempt, OwnerResult aResult);
+
+  boost::asio::io_context& context;
+  const process::Settings& settings;
+  const version::SnapshotHolder& snapshots;
+  const FleetViewHolder& fleet;
+  AttemptRouter& router;
+  version::WorkLedger& ledger;
+  process::Metrics& metrics;
+
+  /// Guards everything below; held for single decisions, never while sending.
+  mutable std::mutex mutex;
+  HedgeBudget budget;
+  LatencyDigests digests;
+  ReplicaChooser chooser;
+  Quarantine quarantine;
+  Admission admission;
+  boost::asio::steady_timer admissionTimer;
+  std::uint64_t nextQuery = 1;
+  std::uint64_t nextRun = 1;
+  std::unordered_map<Admission::QueryId, QueryPtr> offered;
+  std::unordered_map<std::uint64_t, QueryPtr> runs;
+  IndexVersion servingIndex = 0;
+};
+
+void QueryService::Impl::Handle(std::string aBody, HttpReply aReply)
+{
+  auto query = std::make_shared<ActiveQuery>();
+  query->reply = std::move(aReply);
+  query->start = SteadyClock::now();
+  const bool parsed = boost::leaf::try_handle_all(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_ASSIGN(query->request, ParseQuery(aBody));
+      return true;
+    },
+    [&](const Error& aError) {
+      metrics.Add(Counter::QueriesRefused);
+      query->reply({ Describe(aError.code).httpStatus, WriteError(aError) });
+      return false;
+    },
+    [&] {
+      query->reply(ErrorResponse(ResultCode::Internal, "unknown error"));
+      return false;
+    });
+  if (!parsed) {
+    return;
+  }
+  query->deadline = query->start + query->request.deadline;
+  query->fingerprint =
+    FingerprintOf(query->request.request.at("kind"), query->request.query);
+  const auto customer = query->request.caller.find("customer");
+  query->admissionKey =
+    customer == query->request.caller.end() ? "" : customer->second;
+  Offer(query);
+}
+
+void QueryService::Impl::Offer(const QueryPtr& aQuery)
+{
+  const auto serving = CheckServing(*fleet.Load());
+  if (serving != ResultCode::Ok) {
+    aQuery->id = "-";
+    Refuse(aQuery, serving);
+    return;
+  }
+  std::vector<Admission::Action> actions;
+  bool quarantined = false;
+  {
+    const std::lock_guard lock(mutex);
+    const auto number = nextQuery++;
+    aQuery->id = fmt::format("{}-{}", settings.instance, number);
+    if (settings.features.quarantine) {
+      aQuery->content = quarantine.Admit(aQuery->fingerprint, aQuery->start);
+    }
+    quarantined = aQuery->content == ContentState::Quarantined;
+    if (!quarantined) {
+      offered.emplace(number, aQuery);
+      if (settings.features.admission) {
+        admission.Offer(number,
+                        aQuery->admissionKey,
+                        aQuery->deadline,
+                        aQuery->start,
+                        actions);
+      } else {
+        actions.emplace_back(Admission::Admit{ number });
+      }
+    }
+  }
+  if (quarantined) {
+    Refuse(aQuery, ResultCode::NotRunQuarantined);
+    return;
+  }
+  Apply(actions);
+}
+
+void QueryService::Impl::Apply(const std::vector<Admission::Action>& aActions)
+{
+  struct Visitor
+  {
+    Impl& impl;
+
+    [[nodiscard]] QueryPtr Take(Admission::QueryId aQuery) const
+    {
+      const std::lock_guard lock(impl.mutex);
+      auto node = impl.offered.extract(aQuery);
+      return node.empty() ? nullptr : node.mapped();
+    }
+
+    void operator()(const Admission::Admit& aAdmit) const
+    {
+      if (const auto query = Take(aAdmit.query)) {
+        impl.Begin(query);
+      }
+    }
+
+    void operator()(const Admission::Refuse& aRefuse) const
+    {
+      if (const auto query = Take(aRefuse.query)) {
+        impl.Refuse(query, aRefuse.code);
+      }
+    }
+  };
+  for (const auto& it : aActions) {
+    std::visit(Visitor{ *this }, it);
+  }
+  ArmAdmission();
+}
+
+void QueryService::Impl::ArmAdmission()
+{
+  const std::lock_guard lock(mutex);
+  const auto next = admission.NextTimer();
+  if (!next) {
+    return;
+  }
+  admissionTimer.expires_at(*next);
+  admissionTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    std::vector<Admission::Action> actions;
+    {
+      const std::lock_guard timerLock(mutex);
+      admission.OnTimer(SteadyClock::now(), actions);
+    }
+    Apply(actions);
+  });
+}
+
+void QueryService::Impl::Begin(const QueryPtr& aQuery)
+{
+  const auto snapshot = snapshots.Load();
+  const auto plan =
+    snapshot->SharedPlan(aQuery->request.caller, aQuery->request.request);
+  if (plan->code != ResultCode::Ok) {
+    Refuse(aQuery, plan->code);
+    End(aQuery);
+    return;
+  }
+  const auto now = SteadyClock::now();
+  auto shared = std::make_shared<AttemptContext>();
+  shared->configVersion = plan->configVersion;
+  shared->indexVersion = plan->indexVersion;
+  shared->deadline = aQuery->deadline;
+  shared->caller = aQuery->request.caller;
+  shared->request = aQuery->request.request;
+  shared->payload = std::make_shared<const std::string>(aQuery->request.query);
+  shared->fingerprint = aQuery->fingerprint;
+  aQuery->context = std::move(shared);
+  aQuery->token = ledger.Begin(plan->configVersion, {}, {}, WorkKind::Admitted);
+
+  QueryOptions options;
+  options.deadline = aQuery->deadline;
+  options.minCoverage = aQuery->request.minCoverage;
+  options.content = aQuery->content;
+  options.hedging = settings.features.hedging;
+  options.canary = settings.features.canary;
+  options.mayRestart = !aQuery->restarted;
+  options.maxSubrequest = snapshot->Content().limits.maxSubrequest;
+  std::vector<QueryAction> actions;
+  {
+    const std::lock_guard lock(mutex);
+    aQuery->runNumber = nextRun++;
+    options.firstAttempt = aQuery->runNumber << kRunShift;
+    aQuery->run.emplace(*plan, options, budget, digests, chooser, now);
+    runs.emplace(aQuery->runNumber, aQuery);
+    aQuery->run->Start(now, actions);
+  }
+  Perform(aQuery, std::move(actions));
+}
+
+void QueryService::Impl::Perform(const QueryPtr& aQuery,
+                                 std::vector<QueryAction> aActions)
+{
+  std::vector<RoutedAttempt> sends;
+  std::vector<AttemptId> cancels;
+  std::optional<QueryAnswer> answer;
+  bool canary = false;
+  struct Visitor
+  {
+    Impl& impl;
+    const QueryPtr& query;
+    std::vector<RoutedAttempt>& sends;
+    std::vector<AttemptId>& cancels;
+    std::optional<QueryAnswer>& answer;
+    bool& canary;
+
+    void operator()(const Dispatch& aDispatch) const
+    {
+      // The plan of a run never changes, so no lock is needed to read it.
+      const auto& target = query->run->Target(aDispatch);
+      const auto& shard = query->run->Plan().shards[aDispatch.shard];
+      canary = canary || aDispatch.canary;
+      sends.push_back({ aDispatch.attempt,
+                        shard.shard,
+                        target.server,
+                        target.slice,
+                        aDispatch.hedge });
+    }
+    void operator()(const request::Cancel& aCancel) const
+    {
+      cancels.push_back(aCancel.attempt);
+    }
+    void operator()(Finish& aFinish) const
+    {
+      answer = std::move(aFinish.answer);
+    }
+  };
+  for (auto& it : aActions) {
+    std::visit(Visitor{ *this, aQuery, sends, cancels, answer, canary }, it);
+  }
+  const auto shared = aQuery->context;
+  if (answer) {
+    Complete(aQuery, std::move(*answer));
+  } else {
+    ArmTimer(aQuery);
+  }
+  if (!cancels.empty()) {
+    router.Cancel(cancels);
+  }
+  if (!sends.empty()) {
+    router.Send(shared, sends, canary);
+  }
+}
+
+void QueryService::Impl::ArmTimer(const QueryPtr& aQuery)
+{
+  const std::lock_guard lock(mutex);
+  if (!aQuery->run || aQuery->run->Finished()) {
+    return;
+  }
+  const auto next = aQuery->run->NextTimer();
+  if (!next || (aQuery->armed && *aQuery->armed <= *next)) {
+    return;
+  }
+  if (!aQuery->timer) {
+    aQuery->timer = std::make_unique<boost::asio::steady_timer>(context);
+  }
+  aQuery->armed = next;
+  aQuery->timer->expires_at(*next);
+  aQuery->timer->async_wait([this, aQuery](boost::system::error_code aError) {
+    if (!aError) {
+      OnTimer(aQuery);
+    }
+  });
+}
+
+void QueryService::Impl::OnTimer(const QueryPtr& aQuery)
+{
+  std::vector<QueryAction> actions;
+  {
+    const std::lock_guard lock(mutex);
+    aQuery->armed.reset();
+    if (!aQuery->run || aQuery->run->Finished()) {
+      return;
+    }
+    aQuery->run->OnTimer(SteadyClock::now(), actions);
+  }
+  Perform(aQuery, std::move(actions));
+}
+
+void QueryService::Impl::OnResult(AttemptId aAttempt, OwnerResult aResult)
+{
+  AttemptResult result;
+  result.code = aResult.code;
+  result.load = aResult.load;
+  if (aResult.code == ResultCode::Ok) {
+    boost::leaf::try_handle_all(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(answer, ParseShardAnswer(aResult.body));
+        result.indexVersion = answer.indexVersion;
+        result.hits = std::move(answer.hits);
+        return {};
+      },
+      [&] { result.code = ResultCode::ShardBadAnswer; });
+  }
+  std::vector<QueryAction> actions;
+  QueryPtr query;
+  {
+    const std::lock_guard lock(mutex);
+    const auto it = runs.find(aAttempt >> kRunShift);
+    if (it == runs.end()) {
+      metrics.Add(Counter::LateResponses);
+      return;
+    }
+    query = it->second;
+    query->run->OnResponse(
+      aAttempt, std::move(result), SteadyClock::now(), actions);
+  }
+  Perform(query, std::move(actions));
+}
+
+QueryService::Impl::QueryPtr QueryService::Impl::Restart(const QueryPtr& aQuery)
+{
+  // A new object, because other threads may still read the plan of the old one.
+  auto next = std::make_shared<ActiveQuery>();
+  next->id = aQuery->id;
+  next->reply = std::move(aQuery->reply);
+  next->request = std::move(aQuery->request);
+  next->admissionKey = aQuery->admissionKey;
+  next->fingerprint = aQuery->fingerprint;
+  next->content = aQuery->content;
+  next->start = aQuery->start;
+  next->deadline = aQuery->deadline;
+  next->restarted = true;
+  aQuery->token.End();
+  return next;
+}
+
+void QueryService::Impl::Complete(const QueryPtr& aQuery, QueryAnswer aAnswer)
+{
+  metrics.Add(Counter::Hedges, aAnswer.hedges);
+  metrics.Add(Counter::Retries, aAnswer.retries);
+  const auto now = SteadyClock::now();
+  {
+    const std::lock_guard lock(mutex);
+    runs.erase(aQuery->runNumber);
+    if (aQuery->timer) {
+      aQuery->timer->cancel();
+      aQuery->armed.reset();
+    }
+    if (aAnswer.contentSucceeded) {
+      quarantine.NoteSuccess(aQuery->fingerprint, aAnswer.missing.empty(), now);
+    }
+  }
+  const auto snapshot = snapshots.Load();
+  if (aAnswer.restartWorthwhile && !aQuery->restarted &&
+      now < aQuery->deadline &&
+      snapshot->Content().index.serving > aAnswer.indexVersion) {
+    Begin(Restart(aQuery));
+    return;
+  }
+  if (aAnswer.code == ResultCode::Ok) {
+    metrics.Add(Counter::QueriesWhole);
+  } else if (aAnswer.code == ResultCode::Partial) {
+    metrics.Add(Counter::QueriesPartial);
+  } else {
+    metrics.Add(Counter::QueriesRefused);
+  }
+  metrics.ObserveQuery(
+    std::chrono::duration<double>(now - aQuery->start).count());
+  aQuery->reply({ Describe(aAnswer.code).httpStatus,
+                  WriteQueryAnswer(aQuery->id, aAnswer) });
+  End(aQuery);
+}
+
+void QueryService::Impl::Refuse(const QueryPtr& aQuery, ResultCode aCode)
+{
+  metrics.Add(Counter::QueriesRefused);
+  const bool useOther = aCode == ResultCode::NotRunFenced ||
+                        aCode == ResultCode::NotRunNoConfiguration;
+  aQuery->reply(useOther ? RefuseWithAddresses(aQuery->id, aCode, *fleet.Load())
+                         : HttpResponse{ Describe(aCode).httpStatus,
+                                         WriteRefusal(aQuery->id, aCode) });
+}
+
+void QueryService::Impl::End(const QueryPtr& aQuery)
+{
+  aQuery->token.End();
+  if (!settings.features.admission) {
+    return;
+  }
+  std::vector<Admission::Action> actions;
+  {
+    const std::lock_guard lock(mutex);
+    admission.Finished(aQuery->admissionKey, SteadyClock::now(), actions);
+  }
+  // Posted, so that a burst of short queries does not nest.
+  if (!actions.empty()) {
+    boost::asio::post(context, [this, actions] { Apply(actions); });
+  }
+}
+
+QueryService::QueryService(boost::asio::io_context& aContext,
+                           const process::Settings& aSettings,
+                           const version::SnapshotHolder& aSnapshots,
+                           const FleetViewHolder& aFleet,
+                           AttemptRouter& aRouter,
+                           version::WorkLedger& aLedger,
+                           process::Metrics& aMetrics)
+  : mImpl(std::make_unique<Impl>(aContext,
+                                 aSettings,
+                                 aSnapshots,
+                                 aFleet,
+                                 aRouter,
+                                 aLedger,
+                                 aMetrics))
+{
+}
+
+QueryService::~QueryService() = default;
+
+void QueryService::Handle(std::string aBody, HttpReply aReply)
+{
+  mImpl->Handle(std::move(aBody), std::move(aReply));
+}
+
+void QueryService::OnResult(AttemptId aAttempt, OwnerResult aResult)
+{
+  mImpl->OnResult(aAttempt, std::move(aResult));
+}
+
+void QueryService::OnSnapshot(const version::Snapshot& aSnapshot)
+{
+  const auto& content = aSnapshot.Content();
+  std::vector<ServerId> servers;
+  for (const auto& it : aSnapshot.Servers()) {
+    servers.push_back(it.id);
+  }
+  const std::lock_guard lock(mImpl->mutex);
+  mImpl->budget.SetPercent(content.limits.hedgePercent);
+  mImpl->admission.SetLimit(content.limits.queriesInProgress);
+  mImpl->chooser.Retain(servers, SteadyClock::now());
+  if (mImpl->servingIndex != content.index.serving) {
+    mImpl->servingIndex = content.index.serving;
+    mImpl->quarantine.ForgetSuccesses();
+  }
+}
+
+void QueryService::OnFleet(const version::Snapshot& aSnapshot,
+                           const FleetView& aFleet)
+{
+  const auto now = SteadyClock::now();
+  const std::lock_guard lock(mImpl->mutex);
+  for (const auto& it : aSnapshot.Servers()) {
+    const auto index = mImpl->chooser.IndexOf(it.id, now);
+    mImpl->chooser.SetOwned(index, aFleet.OwnerOf(it.slice) != nullptr);
+    mImpl->chooser.SetLeaving(index, aFleet.leavingServers.contains(it.id));
+  }
+}
+
+std::size_t QueryService::InProgress() const
+{
+  const std::lock_guard lock(mImpl->mutex);
+  return mImpl->offered.size() + mImpl->runs.size();
+}
+
+ContentState QueryService::AdmitContent(const Fingerprint& aContent)
+{
+  if (!mImpl->settings.features.quarantine) {
+    return ContentState::Unproven;
+  }
+  const std::lock_guard lock(mImpl->mutex);
+  return mImpl->quarantine.Admit(aContent, SteadyClock::now());
+}
+
+ContentState QueryService::StateOfContent(const Fingerprint& aContent) const
+{
+  if (!mImpl->settings.features.quarantine) {
+    return ContentState::Unproven;
+  }
+  const std::lock_guard lock(mImpl->mutex);
+  return mImpl->quarantine.StateOf(aContent, SteadyClock::now());
+}
+
+void QueryService::NoteCrash(std::span<const Fingerprint> aContents,
+                             const ServerId& aServer)
+{
+  const std::lock_guard lock(mImpl->mutex);
+  mImpl->quarantine.NoteCrash(aContents, aServer, SteadyClock::now());
+}
+
+void QueryService::NoteSuccess(const Fingerprint& aContent)
+{
+  const std::lock_guard lock(mImpl->mutex);
+  mImpl->quarantine.NoteSuccess(aContent, true, SteadyClock::now());
+}
+
+void QueryService::MergeQuarantine(const std::vector<QuarantineEntry>& aEntries)
+{
+  const std::lock_guard lock(mImpl->mutex);
+  for (const auto& it : aEntries) {
+    mImpl->quarantine.Merge(it, SteadyClock::now());
+  }
+}
+
+std::vector<QuarantineEntry> QueryService::TakeNotices()
+{
+  const std::lock_guard lock(mImpl->mutex);
+  return mImpl->quarantine.TakeNotices(kMaxNotices, SteadyClock::now());
+}
+
+void QueryService::Expire(TimePoint aNow)
+{
+  const std::lock_guard lock(mImpl->mutex);
+  mImpl->quarantine.Expire(aNow);
+}
+
+std::size_t QueryService::Quarantined() const
+{
+  const std::lock_guard lock(mImpl->mutex);
+  return mImpl->quarantine.size();
+}
+
+std::size_t QueryService::ChooseReplica(
+  const std::vector<version::Replica>& aReplicas)
+{
+  const auto now = SteadyClock::now();
+  const std::lock_guard lock(mImpl->mutex);
+  std::vector<ReplicaChooser::Index> candidates;
+  for (const auto& it : aReplicas) {
+    candidates.push_back(mImpl->chooser.IndexOf(it.server, now));
+  }
+  return mImpl->chooser.Choose(candidates, now);
+}
+
+} // namespace bronzedeal::daemon
