--- a/bench/harness.py
+++ b/bench/harness.py
@@ -194,13 +194,14 @@
     """A platform, backend servers and instances of one preset.
 
     services: overrides the number of services of the preset's first group.
+    groups:   keeps these groups of the preset only.
     backend:  options of all stand-in servers (see `ApplyOptions`).
     settings: fields of every instance's settings, such as `features`.
     """
 
     def __init__(self, preset="gaonsan", instances=6, services=None, seed=1,
                  backend=None, settings=None, limits=None, directory=None,
-                 domains=DOMAINS):
+                 domains=DOMAINS, groups=None):
         self.directory = pathlib.Path(
             directory or tempfile.mkdtemp(prefix="bronzedeal-"))
         self._remove = directory is None
@@ -208,6 +209,9 @@
         self.domains = domains
         self.seed = seed
         self.preset = copy.deepcopy(PRESETS[preset])
+        if groups:
+            self.preset["groups"] = {it: self.preset["groups"][it]
+                                     for it in groups}
         self.main_group = next(iter(self.preset["groups"]))
         if services is not None:
             self.preset["groups"][self.main_group]["services"] = services
@@ -520,7 +524,7 @@
             "history": self.path(f"{name}.jsonl"), **options}
 
     def operation_options(self, share):
-        group = list(self.preset["groups"])[1]
+        group = list(self.preset["groups"])[-1]
         kind = self.preset["groups"][group]["kinds"][0]
         return {"operation_share": share,
                 "operation_traffic": f"{self.customer}/{kind}",
