--- a/include/bronzedeal/request/admission.hpp
+++ b/include/bronzedeal/request/admission.hpp
@@ -98,6 +98,8 @@
   [[nodiscard]] TimePoint RefuseAt(const Queue& aQueue,
                                    const Entry& aEntry) const noexcept;
   void Expire(TimePoint aNow, std::vector<Action>& aActions);
+  /// Removes a key without queries.
+  void Forget(Queues::iterator aQueue);
   void Fill(TimePoint aNow, std::vector<Action>& aActions);
 
   Options mOptions;
--- a/include/bronzedeal/request/quarantine.hpp
+++ b/include/bronzedeal/request/quarantine.hpp
@@ -106,7 +106,8 @@
     std::vector<ServerId> servers;
     TimePoint lastCrash{};
     TimePoint expires{};
-    bool quarantined = false;
+    /// Expiry that peers were told last.
+    TimePoint noticed{};
     bool changed = false;
   };
   struct Crash
@@ -130,6 +131,11 @@
               bool aMassLoss,
               TimePoint aNow);
   void MakeRoom(TimePoint aNow);
+  void Extend(Entry& aEntry, TimePoint aUntil);
+  void DropOldestSuccess();
+  [[nodiscard]] static QuarantineEntry NoticeOf(const Fingerprint& aContent,
+                                                const Entry& aEntry,
+                                                TimePoint aNow);
 
   Options mOptions;
   std::unordered_map<Fingerprint, Entry, Hash> mEntries;
--- a/tests/request/query_run_property_test.cpp
+++ b/tests/request/query_run_property_test.cpp
@@ -125,7 +125,10 @@
     const auto attempt = SomeAttempt();
     auto result = SomeResult();
     if (mOpen.erase(attempt) > 0) {
-      mSucceeded |= result.code == Ok && result.indexVersion == 3;
+      if (result.code == Ok && result.indexVersion == 3) {
+        mSucceeded = true;
+        mIncluded.insert(mSent[attempt - options.firstAttempt].shard);
+      }
       mLost += result.code == ShardServerLost ? 1 : 0;
     }
     aRun.OnResponse(attempt, std::move(result), aNow, actions);
@@ -145,6 +148,9 @@
         CheckAnswer(std::get<Finish>(it).answer);
       }
     }
+    for (const auto it : mOpen) {
+      RC_ASSERT(!mIncluded.contains(mSent[it - options.firstAttempt].shard));
+    }
   }
 
   void CheckDispatch(const Dispatch& aSent, TimePoint aNow)
@@ -204,6 +210,7 @@
   std::set<std::pair<std::uint32_t, std::uint32_t>> mTried;
   std::set<std::uint32_t> mShards;
   std::set<AttemptId> mOpen;
+  std::set<std::uint32_t> mIncluded;
   bool mSucceeded = false;
   int mLost = 0;
   std::uint32_t mInitial = 0;
