Add the HTTP client pool of one backend server

Cause: the owner keeps the connections of its servers warm and must know for each request whether a byte was written and when its slot is free again. Change: ServerPool on one Asio strand: a direct write on an idle connection, a read that stays pending to notice a lost connection, one timer per pool, a parser that keeps only status, x- headers and body.

--- a/include/bronzedeal/connection/server_pool.hpp
+++ b/include/bronzedeal/connection/server_pool.hpp
@@ -154,7 +154,8 @@
 /// written.
 ///
 /// Thread safe. All callbacks run one at a time on threads that run the
-/// `io_context`, never inside a call of this class, and may call it.
+/// `io_context`, never inside a call of this class, and may call it. The pool
+/// must be destroyed before its `io_context`.
 class ServerPool
 {
 public:
--- /dev/null
+++ b/src/connection/server_pool.cpp
@@ -0,0 +1,899 @@
+#include "bronzedeal/connection/server_pool.hpp"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <charconv>
+#include <cstring>
+#include <deque>
+#include <optional>
+#include <random>
+
+namespace bronzedeal::connection {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Strand>;
+using Timer =
+  asio::basic_waitable_timer<std::chrono::steady_clock,
+                             asio::wait_traits<std::chrono::steady_clock>,
+                             Strand>;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kReadBytes = 16U << 10U;
+/// Connections on which a request without a written byte is tried in turn;
+/// several idle ones may be broken when the server was restarted.
+constexpr unsigned kMaxTries = 4;
+
+/// Keeps the parts of an answer that are of interest and skips the rest, which
+/// avoids the allocations of a full header map.
+class AnswerParser : public http::basic_parser<false>
+{
+public:
+  SendResult& Result() noexcept { return mResult; }
+
+private:
+  using String = boost::beast::string_view;
+
+  void on_request_impl(http::verb, // NOLINT(readability-identifier-naming)
+                       String,
+                       String,
+                       int,
+                       error_code&) override
+  {
+  }
+  void on_response_impl(int aStatus, // NOLINT(readability-identifier-naming)
+                        String,
+                        int,
+                        error_code&) override
+  {
+    mResult.status = static_cast<unsigned>(aStatus);
+  }
+  void on_field_impl(http::field, // NOLINT(readability-identifier-naming)
+                     String aName,
+                     String aValue,
+                     error_code&) override
+  {
+    if (aName.size() < 2 || (aName[0] | 0x20) != 'x' || aName[1] != '-') {
+      return;
+    }
+    std::string name(aName);
+    for (auto& it : name) {
+      it = it >= 'A' && it <= 'Z' ? static_cast<char>(it | 0x20) : it;
+    }
+    mResult.headers.emplace_back(std::move(name), std::string(aValue));
+  }
+  void on_header_impl( // NOLINT(readability-identifier-naming)
+    error_code&) override
+  {
+  }
+  void on_body_init_impl( // NOLINT(readability-identifier-naming)
+    const boost::optional<std::uint64_t>& aLength,
+    error_code&) override
+  {
+    if (aLength) {
+      mResult.body.reserve(static_cast<std::size_t>(*aLength));
+    }
+  }
+  std::size_t on_body_impl( // NOLINT(readability-identifier-naming)
+    String aBody,
+    error_code&) override
+  {
+    mResult.body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_chunk_header_impl( // NOLINT(readability-identifier-naming)
+    std::uint64_t,
+    String,
+    error_code&) override
+  {
+  }
+  std::size_t on_chunk_body_impl( // NOLINT(readability-identifier-naming)
+    std::uint64_t,
+    String aBody,
+    error_code&) override
+  {
+    mResult.body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_finish_impl( // NOLINT(readability-identifier-naming)
+    error_code&) override
+  {
+  }
+
+  SendResult mResult;
+};
+
+void AppendNumber(std::string& aOut, std::size_t aNumber)
+{
+  std::array<char, 20> buf{};
+  const auto end =
+    std::to_chars(buf.data(), buf.data() + buf.size(), aNumber).ptr;
+  aOut.append(buf.data(), end);
+}
+
+} // namespace
+
+std::string_view Name(SendError aError) noexcept
+{
+  switch (aError) {
+    case SendError::None:
+      return "none";
+    case SendError::Vetoed:
+      return "vetoed";
+    case SendError::ConnectFailed:
+      return "connect_failed";
+    case SendError::NoConnection:
+      return "no_connection";
+    case SendError::CancelledUnsent:
+      return "cancelled_unsent";
+    case SendError::Cancelled:
+      return "cancelled";
+    case SendError::Closed:
+      return "closed";
+    case SendError::Timeout:
+      return "timeout";
+    case SendError::BadAnswer:
+      return "bad_answer";
+    case SendError::PoolClosed:
+      return "pool_closed";
+  }
+  return "";
+}
+
+std::string_view SendResult::Header(std::string_view aName) const noexcept
+{
+  for (const auto& it : headers) {
+    if (it.first == aName) {
+      return it.second;
+    }
+  }
+  return {};
+}
+
+class ServerPool::Impl : public std::enable_shared_from_this<ServerPool::Impl>
+{
+public:
+  Impl(asio::io_context& aContext, ServerPoolOptions aOptions)
+    : mStrand(asio::make_strand(aContext))
+    , mOptions(std::move(aOptions))
+    , mTimer(mStrand)
+    , mRandom(mOptions.seed)
+    , mBackoff(mOptions.firstBackoff)
+  {
+    ParseAddress();
+  }
+
+  void Start()
+  {
+    Post([](Impl& aImpl) { aImpl.Pump(); });
+  }
+
+  Handle Send(SendRequest aRequest)
+  {
+    auto pending = std::make_unique<Pending>();
+    pending->id = mNextId.fetch_add(1, std::memory_order_relaxed);
+    pending->request = std::move(aRequest);
+    const auto id = pending->id;
+    asio::post(
+      mStrand,
+      [self = shared_from_this(), pending = std::move(pending)]() mutable {
+        self->mWaiting.push_back(std::move(pending));
+        self->Pump();
+      });
+    return id;
+  }
+
+  void Cancel(Handle aHandle)
+  {
+    Post([aHandle](Impl& aImpl) { aImpl.CancelNow(aHandle); });
+  }
+
+  void SetConnections(unsigned aMax, unsigned aWarm)
+  {
+    Post([aMax, aWarm](Impl& aImpl) {
+      aImpl.mOptions.maxConnections = aMax;
+      aImpl.mOptions.warmConnections = aWarm;
+      aImpl.Trim();
+      aImpl.Pump();
+    });
+  }
+
+  void Close()
+  {
+    Post([](Impl& aImpl) { aImpl.CloseNow(); });
+  }
+
+  ServerPoolStats Stats() const
+  {
+    ServerPoolStats stats;
+    stats.open = mGauges.open;
+    stats.connecting = mGauges.connecting;
+    stats.busy = mGauges.busy;
+    stats.unconfirmed = mGauges.unconfirmed;
+    stats.waiting = mGauges.waiting;
+    stats.connects = mGauges.connects;
+    stats.connectFailures = mGauges.connectFailures;
+    stats.losses = mGauges.losses;
+    stats.requests = mGauges.requests;
+    stats.bytesSent = mGauges.bytesSent;
+    stats.bytesReceived = mGauges.bytesReceived;
+    return stats;
+  }
+
+private:
+  struct Pending
+  {
+    Handle id = 0;
+    SendRequest request;
+    unsigned tries = 0;
+  };
+
+  enum class State
+  {
+    Connecting,
+    Idle,
+    Busy,
+    Closed,
+  };
+
+  struct Connection
+  {
+    explicit Connection(const Strand& aStrand)
+      : socket(aStrand)
+    {
+    }
+
+    Socket socket;
+    State state = State::Connecting;
+    /// The request that the server works on, also after its result was
+    /// reported.
+    std::unique_ptr<Pending> current;
+    bool unconfirmed = false;
+    bool writing = false;
+    bool answeredBefore = false;
+    TimePoint firstByteAt;
+    /// When to act: connect timeout, deadline or end of the unconfirmed time.
+    TimePoint limit;
+    std::string out;
+    std::string in;
+    /// Bytes of `in` that were received and not yet parsed.
+    std::size_t inSize = 0;
+    std::optional<AnswerParser> parser;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  /// Written on the strand, read by any thread.
+  struct Gauges
+  {
+    std::atomic<unsigned> open{ 0 };
+    std::atomic<unsigned> connecting{ 0 };
+    std::atomic<unsigned> busy{ 0 };
+    std::atomic<unsigned> unconfirmed{ 0 };
+    std::atomic<unsigned> waiting{ 0 };
+    std::atomic<std::uint64_t> connects{ 0 };
+    std::atomic<std::uint64_t> connectFailures{ 0 };
+    std::atomic<std::uint64_t> losses{ 0 };
+    std::atomic<std::uint64_t> requests{ 0 };
+    std::atomic<std::uint64_t> bytesSent{ 0 };
+    std::atomic<std::uint64_t> bytesReceived{ 0 };
+  };
+
+  template<typename F>
+  void Post(F aCall)
+  {
+    asio::post(mStrand,
+               [self = shared_from_this(), call = std::move(aCall)]() mutable {
+                 call(*self);
+               });
+  }
+
+  void ParseAddress()
+  {
+    const auto& text = mOptions.address;
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+      return;
+    }
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+      host = host.substr(1, host.size() - 2);
+    }
+    unsigned short port = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    error_code ec;
+    const auto address = asio::ip::make_address(host, ec);
+    if (!ec && parsed.ec == std::errc() && parsed.ptr == end) {
+      mEndpoint.emplace(address, port);
+    }
+  }
+
+  // --- connections ---
+
+  [[nodiscard]] std::size_t Open() const
+  {
+    return mConnections.size() - mConnecting;
+  }
+
+  /// Gives waiting requests a connection and opens connections as wanted.
+  void Pump()
+  {
+    while (!mWaiting.empty() && !mIdle.empty() && !mClosed) {
+      auto pending = std::move(mWaiting.front());
+      mWaiting.pop_front();
+      auto connection = std::move(mIdle.back());
+      mIdle.pop_back();
+      if (connection->state != State::Idle) {
+        mWaiting.push_front(std::move(pending));
+        continue;
+      }
+      Dispatch(connection, std::move(pending));
+    }
+    if (mClosed) {
+      FailWaiting(SendError::PoolClosed);
+    } else {
+      OpenConnections();
+      if (mConnections.empty()) {
+        FailWaiting(SendError::ConnectFailed);
+      }
+      for (const auto& it : mWaiting) {
+        ArmTimer(it->request.deadline);
+      }
+    }
+    mGauges.waiting = static_cast<unsigned>(mWaiting.size());
+    mGauges.open = static_cast<unsigned>(Open());
+    mGauges.connecting = static_cast<unsigned>(mConnecting);
+  }
+
+  void OpenConnections()
+  {
+    const auto needed =
+      mWaiting.size() + static_cast<std::size_t>(mGauges.busy.load());
+    const auto wanted = std::min<std::size_t>(
+      mOptions.maxConnections,
+      std::max<std::size_t>(mOptions.warmConnections, needed));
+    if (mConnections.size() >= wanted) {
+      return;
+    }
+    const auto now = Clock::now();
+    if (now < mBackoffUntil) {
+      ArmTimer(mBackoffUntil);
+      return;
+    }
+    if (!mEndpoint) {
+      ConnectFailed(now);
+      return;
+    }
+    while (mConnections.size() < wanted) {
+      Connect(now);
+    }
+  }
+
+  void Connect(TimePoint aNow)
+  {
+    auto connection = std::make_shared<Connection>(mStrand);
+    connection->limit = aNow + mOptions.connectTimeout;
+    ArmTimer(connection->limit);
+    mConnections.push_back(connection);
+    ++mConnecting;
+    connection->socket.async_connect(
+      *mEndpoint, [self = shared_from_this(), connection](error_code aError) {
+        self->OnConnect(connection, aError);
+      });
+  }
+
+  void OnConnect(const ConnectionPtr& aConnection, error_code aError)
+  {
+    if (aConnection->state != State::Connecting) {
+      return;
+    }
+    if (!aError) {
+      aConnection->socket.non_blocking(true, aError);
+    }
+    if (aError) {
+      Drop(aConnection);
+      ConnectFailed(Clock::now());
+      Pump();
+      return;
+    }
+    aConnection->socket.set_option(asio::ip::tcp::no_delay(true), aError);
+    --mConnecting;
+    ++mGauges.connects;
+    aConnection->state = State::Idle;
+    mIdle.push_back(aConnection);
+    Read(aConnection);
+    Call(mOptions.connected);
+    Pump();
+  }
+
+  void ConnectFailed(TimePoint aNow)
+  {
+    ++mGauges.connectFailures;
+    if (aNow >= mBackoffUntil) {
+      const auto factor = std::uniform_real_distribution<>(0.5, 1.0)(mRandom);
+      mBackoffUntil =
+        aNow + std::chrono::duration_cast<Duration>(mBackoff * factor);
+      mBackoff = std::min(2 * mBackoff, mOptions.longestBackoff);
+    }
+    Call(mOptions.connectFailed);
+  }
+
+  /// Removes a connection from the pool; its request must have been dealt with.
+  void Drop(const ConnectionPtr& aConnection)
+  {
+    if (aConnection->state == State::Connecting) {
+      --mConnecting;
+    }
+    if (aConnection->state == State::Idle) {
+      std::erase(mIdle, aConnection);
+    }
+    if (aConnection->state == State::Busy) {
+      --mGauges.busy;
+    }
+    aConnection->state = State::Closed;
+    error_code ec;
+    aConnection->socket.close(ec);
+    std::erase(mConnections, aConnection);
+  }
+
+  /// Closes idle connections above the wanted number.
+  void Trim()
+  {
+    while (!mIdle.empty() && mConnections.size() > mOptions.maxConnections) {
+      Drop(ConnectionPtr(mIdle.front()));
+    }
+  }
+
+  void CloseNow()
+  {
+    mClosed = true;
+    mTimer.cancel();
+    const auto connections = mConnections;
+    for (const auto& it : connections) {
+      Break(it, SendError::PoolClosed, AttemptEnd::ConnectionLost);
+    }
+    Pump();
+  }
+
+  // --- requests ---
+
+  void Dispatch(const ConnectionPtr& aConnection,
+                std::unique_ptr<Pending> aPending)
+  {
+    auto& request = aPending->request;
+    Serialise(request, aConnection->out);
+    const auto now = Clock::now();
+    if (request.guard && !request.guard()) {
+      mIdle.push_back(aConnection);
+      FinishUnsent(*aPending, SendError::Vetoed);
+      return;
+    }
+    error_code ec;
+    const auto n =
+      aConnection->socket.write_some(asio::buffer(aConnection->out), ec);
+    if (ec) {
+      // The kernel took no byte, so another connection may be tried.
+      Drop(aConnection);
+      LostConnection(aConnection, false);
+      if (++aPending->tries < kMaxTries) {
+        mWaiting.push_front(std::move(aPending));
+      } else {
+        FinishUnsent(*aPending, SendError::ConnectFailed);
+      }
+      return;
+    }
+    ++mGauges.requests;
+    ++mGauges.busy;
+    mGauges.bytesSent += aConnection->out.size();
+    aConnection->state = State::Busy;
+    aConnection->unconfirmed = false;
+    aConnection->firstByteAt = now;
+    aConnection->limit = request.deadline;
+    aConnection->current = std::move(aPending);
+    ResetParser(*aConnection);
+    ArmTimer(aConnection->limit);
+    if (n < aConnection->out.size()) {
+      aConnection->writing = true;
+      asio::async_write(aConnection->socket,
+                        asio::buffer(aConnection->out) + n,
+                        [self = shared_from_this(),
+                         connection = aConnection](error_code, std::size_t) {
+                          // A failed write also fails the read, which reports
+                          // it.
+                          connection->writing = false;
+                        });
+    }
+  }
+
+  void Serialise(const SendRequest& aRequest, std::string& aOut) const
+  {
+    aOut.clear();
+    aOut.append(aRequest.method).append(" ").append(aRequest.target);
+    aOut.append(" HTTP/1.1\r\nhost: ").append(mOptions.address);
+    if (!aRequest.requestId.empty()) {
+      aOut.append("\r\nx-request-id: ").append(aRequest.requestId);
+    }
+    for (const auto& it : aRequest.headers) {
+      aOut.append("\r\n").append(it.first).append(": ").append(it.second);
+    }
+    if (aRequest.body) {
+      aOut.append("\r\ncontent-length: ");
+      AppendNumber(aOut, aRequest.body->size());
+    } else if (aRequest.method != "GET" && aRequest.method != "DELETE") {
+      aOut.append("\r\ncontent-length: 0");
+    }
+    aOut.append("\r\n\r\n");
+    if (aRequest.body) {
+      aOut.append(*aRequest.body);
+    }
+  }
+
+  void Read(const ConnectionPtr& aConnection)
+  {
+    auto& in = aConnection->in;
+    if (in.size() < aConnection->inSize + kReadBytes / 2) {
+      in.resize(aConnection->inSize + kReadBytes);
+    }
+    aConnection->socket.async_read_some(
+      asio::buffer(in.data() + aConnection->inSize,
+                   in.size() - aConnection->inSize),
+      [self = shared_from_this(), connection = aConnection](error_code aError,
+                                                            std::size_t aSize) {
+        self->OnRead(connection, aError, aSize);
+      });
+  }
+
+  void OnRead(const ConnectionPtr& aConnection,
+              error_code aError,
+              std::size_t aSize)
+  {
+    if (aConnection->state == State::Closed) {
+      return;
+    }
+    mGauges.bytesReceived += aSize;
+    aConnection->inSize += aSize;
+    if (aError) {
+      OnEndOfStream(aConnection, aError);
+      return;
+    }
+    if (aConnection->state != State::Busy) {
+      // Data without a request: the framing can't be trusted any more.
+      Break(aConnection, SendError::Closed, AttemptEnd::ConnectionLost);
+      Pump();
+      return;
+    }
+    if (!Parse(*aConnection)) {
+      Break(aConnection, SendError::BadAnswer, AttemptEnd::ConnectionLost);
+      Pump();
+      return;
+    }
+    if (aConnection->parser->is_done()) {
+      OnAnswer(aConnection);
+      return;
+    }
+    Read(aConnection);
+  }
+
+  void ResetParser(Connection& aConnection) const
+  {
+    aConnection.parser.emplace();
+    aConnection.parser->eager(true);
+    aConnection.parser->body_limit(mOptions.maxAnswerBytes);
+  }
+
+  /// Feeds the received bytes to the parser; false when they are invalid.
+  bool Parse(Connection& aConnection)
+  {
+    std::size_t used = 0;
+    bool valid = true;
+    while (used < aConnection.inSize && !aConnection.parser->is_done()) {
+      error_code ec;
+      const auto n = aConnection.parser->put(
+        asio::buffer(aConnection.in.data() + used, aConnection.inSize - used),
+        ec);
+      used += n;
+      if (ec == http::error::need_more) {
+        break;
+      }
+      if (ec) {
+        valid = false;
+        break;
+      }
+      if (aConnection.parser->is_done() &&
+          aConnection.parser->Result().status < 200) {
+        // An interim answer (1xx) precedes the final one.
+        ResetParser(aConnection);
+      }
+    }
+    aConnection.inSize -= used;
+    if (used > 0 && aConnection.inSize > 0) {
+      std::memmove(aConnection.in.data(),
+                   aConnection.in.data() + used,
+                   aConnection.inSize);
+    }
+    return valid;
+  }
+
+  void OnEndOfStream(const ConnectionPtr& aConnection, error_code aError)
+  {
+    if (aConnection->state == State::Busy && aError == asio::error::eof &&
+        aConnection->parser->is_header_done()) {
+      // An answer without a length ends with the connection.
+      error_code ec;
+      aConnection->parser->put_eof(ec);
+      if (!ec && aConnection->parser->is_done()) {
+        OnAnswer(aConnection);
+        return;
+      }
+    }
+    Break(aConnection, SendError::Closed, AttemptEnd::ConnectionLost);
+    Pump();
+  }
+
+  void OnAnswer(const ConnectionPtr& aConnection)
+  {
+    auto result = std::move(aConnection->parser->Result());
+    const bool reusable = aConnection->parser->keep_alive() &&
+                          !aConnection->writing && aConnection->inSize == 0 &&
+                          mConnections.size() <= mOptions.maxConnections;
+    const auto pending = std::move(aConnection->current);
+    const bool unconfirmed = aConnection->unconfirmed;
+    aConnection->answeredBefore = true;
+    mBackoff = mOptions.firstBackoff;
+    if (reusable) {
+      --mGauges.busy;
+      aConnection->state = State::Idle;
+      mIdle.push_back(aConnection);
+      Read(aConnection);
+    } else {
+      Drop(aConnection);
+    }
+    result.byteWritten = true;
+    result.latency = Clock::now() - aConnection->firstByteAt;
+    const auto latency = result.latency;
+    if (unconfirmed) {
+      --mGauges.unconfirmed;
+    } else {
+      Call(pending->request.handler, std::move(result));
+    }
+    Call(pending->request.ended, AttemptEnd::Answered, latency);
+    Pump();
+  }
+
+  /// Reports the request of a connection and removes the connection.
+  void Break(const ConnectionPtr& aConnection,
+             SendError aError,
+             AttemptEnd aEnd)
+  {
+    const auto pending = std::move(aConnection->current);
+    const bool connecting = aConnection->state == State::Connecting;
+    const bool unconfirmed = aConnection->unconfirmed;
+    Drop(aConnection);
+    if (aError == SendError::Closed && !connecting) {
+      LostConnection(aConnection, pending != nullptr);
+    }
+    if (!pending) {
+      return;
+    }
+    const auto latency = Clock::now() - aConnection->firstByteAt;
+    if (unconfirmed) {
+      --mGauges.unconfirmed;
+    } else {
+      SendResult result;
+      result.error = aError;
+      result.byteWritten = true;
+      result.latency = latency;
+      Call(pending->request.handler, std::move(result));
+    }
+    Call(pending->request.ended, aEnd, latency);
+  }
+
+  void LostConnection(const ConnectionPtr& aConnection, bool aInFlight)
+  {
+    if (aInFlight || aConnection->answeredBefore) {
+      ++mGauges.losses;
+      Call(mOptions.lost, aInFlight);
+    } else {
+      ConnectFailed(Clock::now());
+    }
+  }
+
+  void FinishUnsent(Pending& aPending, SendError aError)
+  {
+    SendResult result;
+    result.error = aError;
+    Call(aPending.request.handler, std::move(result));
+    Call(aPending.request.ended, AttemptEnd::NotSent, Duration{});
+  }
+
+  void FailWaiting(SendError aError)
+  {
+    auto waiting = std::move(mWaiting);
+    mWaiting.clear();
+    for (const auto& it : waiting) {
+      FinishUnsent(*it, aError);
+    }
+  }
+
+  void CancelNow(Handle aHandle)
+  {
+    if (aHandle == 0) {
+      return;
+    }
+    const auto waiting =
+      std::find_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aPending) {
+        return aPending->id == aHandle;
+      });
+    if (waiting != mWaiting.end()) {
+      const auto pending = std::move(*waiting);
+      mWaiting.erase(waiting);
+      FinishUnsent(*pending, SendError::CancelledUnsent);
+      Pump();
+      return;
+    }
+    const auto busy = std::find_if(
+      mConnections.begin(), mConnections.end(), [&](const auto& aConnection) {
+        return aConnection->current && aConnection->current->id == aHandle;
+      });
+    if (busy != mConnections.end() && !(*busy)->unconfirmed) {
+      Unconfirmed(ConnectionPtr(*busy), SendError::Cancelled);
+      Pump();
+    }
+  }
+
+  /// Reports the result of a request whose answer is not awaited any more; its
+  /// connection stays in use until the server has ended the work.
+  void Unconfirmed(const ConnectionPtr& aConnection, SendError aError)
+  {
+    const auto now = Clock::now();
+    aConnection->unconfirmed = true;
+    aConnection->limit = now + mOptions.unconfirmedLimit;
+    ++mGauges.unconfirmed;
+    ArmTimer(aConnection->limit);
+    const auto& request = aConnection->current->request;
+    if (!request.requestId.empty()) {
+      auto cancel = std::make_unique<Pending>();
+      cancel->request.method = "DELETE";
+      cancel->request.target = "/v1/requests/" + request.requestId;
+      cancel->request.deadline = aConnection->limit;
+      mWaiting.push_front(std::move(cancel));
+    }
+    SendResult result;
+    result.error = aError;
+    result.byteWritten = true;
+    result.latency = now - aConnection->firstByteAt;
+    Call(request.handler, std::move(result));
+  }
+
+  // --- time ---
+
+  void ArmTimer(TimePoint aTime)
+  {
+    if (aTime >= mTimerAt || mClosed) {
+      return;
+    }
+    mTimerAt = aTime;
+    mTimer.expires_at(aTime);
+    mTimer.async_wait([self = shared_from_this()](error_code aError) {
+      if (!aError) {
+        self->OnTimer();
+      }
+    });
+  }
+
+  void OnTimer()
+  {
+    mTimerAt = TimePoint::max();
+    const auto now = Clock::now();
+    const auto connections = mConnections;
+    for (const auto& it : connections) {
+      if (it->state == State::Connecting && it->limit <= now) {
+        Drop(it);
+        ConnectFailed(now);
+      } else if (it->state == State::Busy && it->limit <= now) {
+        if (it->unconfirmed) {
+          Break(it, SendError::Timeout, AttemptEnd::GivenUp);
+        } else {
+          Unconfirmed(it, SendError::Timeout);
+        }
+      }
+    }
+    std::vector<std::unique_ptr<Pending>> late;
+    for (auto& it : mWaiting) {
+      if (it->request.deadline <= now) {
+        late.push_back(std::move(it));
+      }
+    }
+    std::erase(mWaiting, nullptr);
+    for (const auto& it : late) {
+      FinishUnsent(*it, SendError::NoConnection);
+    }
+    for (const auto& it : mConnections) {
+      if (it->state != State::Idle) {
+        ArmTimer(it->limit);
+      }
+    }
+    Pump();
+  }
+
+  template<typename F, typename... Args>
+  static void Call(const F& aFunction, Args&&... aArguments)
+  {
+    if (aFunction) {
+      aFunction(std::forward<Args>(aArguments)...);
+    }
+  }
+
+  Strand mStrand;
+  ServerPoolOptions mOptions;
+  Timer mTimer;
+  std::minstd_rand mRandom;
+  Duration mBackoff;
+  std::atomic<Handle> mNextId{ 1 };
+  Gauges mGauges;
+
+  // Used on the strand only.
+  std::optional<asio::ip::tcp::endpoint> mEndpoint;
+  std::vector<ConnectionPtr> mConnections;
+  std::size_t mConnecting = 0;
+  /// Last in, first out: the connections in use stay warm in the caches.
+  std::vector<ConnectionPtr> mIdle;
+  std::deque<std::unique_ptr<Pending>> mWaiting;
+  TimePoint mBackoffUntil;
+  TimePoint mTimerAt = TimePoint::max();
+  bool mClosed = false;
+};
+
+ServerPool::ServerPool(asio::io_context& aContext, ServerPoolOptions aOptions)
+  : mImpl(std::make_shared<Impl>(aContext, std::move(aOptions)))
+{
+  mImpl->Start();
+}
+
+ServerPool::~ServerPool()
+{
+  mImpl->Close();
+}
+
+ServerPool::Handle ServerPool::AsyncSend(SendRequest aRequest)
+{
+  return mImpl->Send(std::move(aRequest));
+}
+
+void ServerPool::Cancel(Handle aHandle)
+{
+  mImpl->Cancel(aHandle);
+}
+
+void ServerPool::SetConnections(unsigned aMax, unsigned aWarm)
+{
+  mImpl->SetConnections(aMax, aWarm);
+}
+
+void ServerPool::Close()
+{
+  mImpl->Close();
+}
+
+ServerPoolStats ServerPool::Stats() const
+{
+  return mImpl->Stats();
+}
+
+} // namespace bronzedeal::connection
--- /dev/null
+++ b/tests/connection/http_stand_in.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bronzedeal::connection {
+
+/// A backend server of the tests. It answers a request with its own body,
+/// closes the connection instead (`/close`), or answers when told to (`/hold`).
+class HttpStandIn
+{
+public:
+  HttpStandIn()
+    : mAcceptor(mContext, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , mGate(mContext, boost::asio::steady_timer::time_point::max())
+  {
+    boost::asio::co_spawn(mContext, Accept(), boost::asio::detached);
+    mThread = std::thread([this] { mContext.run(); });
+  }
+  ~HttpStandIn()
+  {
+    mContext.stop();
+    mThread.join();
+  }
+  HttpStandIn(const HttpStandIn&) = delete;
+  HttpStandIn& operator=(const HttpStandIn&) = delete;
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+  /// Lets all held requests be answered, the later ones too.
+  void Release()
+  {
+    boost::asio::post(mContext, [this] {
+      mReleased = true;
+      mGate.cancel();
+    });
+  }
+  /// Method and target of all requests received so far.
+  std::vector<std::string> Requests() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mRequests;
+  }
+  int MostConnections() const { return mMostConnections; }
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+  template<typename T>
+  using Task = boost::asio::awaitable<T>;
+
+  Task<void> Accept()
+  {
+    for (;;) {
+      auto socket = co_await mAcceptor.async_accept(boost::asio::use_awaitable);
+      boost::asio::co_spawn(
+        mContext, Serve(std::move(socket)), boost::asio::detached);
+    }
+  }
+
+  Task<void> Serve(Socket aSocket)
+  {
+    namespace http = boost::beast::http;
+    boost::system::error_code ec;
+    auto token = boost::asio::redirect_error(boost::asio::use_awaitable, ec);
+    boost::beast::flat_buffer buf;
+    mMostConnections = std::max<int>(mMostConnections, ++mConnections);
+    for (;;) {
+      http::request<http::string_body> request;
+      co_await http::async_read(aSocket, buf, request, token);
+      if (ec) {
+        break;
+      }
+      {
+        const std::lock_guard lock(mMutex);
+        mRequests.push_back(std::string(request.method_string()) + " " +
+                            std::string(request.target()));
+      }
+      if (request.target() == "/close") {
+        break;
+      }
+      if (request.target() == "/hold" && !mReleased) {
+        co_await mGate.async_wait(token);
+      }
+      http::response<http::string_body> answer;
+      answer.result(request.target() == "/refuse" ? 503 : 200);
+      answer.set("x-outcome", "not-run");
+      answer.body() = std::move(request.body());
+      answer.prepare_payload();
+      co_await http::async_write(aSocket, answer, token);
+      if (ec || request.target() == "/answer-then-close") {
+        break;
+      }
+    }
+    --mConnections;
+  }
+
+  boost::asio::io_context mContext{ 1 };
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mGate;
+  bool mReleased = false;
+  int mConnections = 0;
+  std::atomic<int> mMostConnections{ 0 };
+  mutable std::mutex mMutex;
+  std::vector<std::string> mRequests;
+  std::thread mThread;
+};
+
+} // namespace bronzedeal::connection
--- /dev/null
+++ b/tests/connection/server_pool_test.cpp
@@ -0,0 +1,295 @@
+#include "bronzedeal/connection/server_pool.hpp"
+
+#include "http_stand_in.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <ctime>
+#include <future>
+#include <gtest/gtest.h>
+
+namespace bronzedeal::connection {
+namespace {
+
+class ServerPoolTest : public testing::Test
+{
+protected:
+  ServerPoolTest()
+    : mThread([this] { mContext.run(); })
+  {
+    mOptions.maxConnections = 3;
+    mOptions.unconfirmedLimit = std::chrono::hours(1);
+    mOptions.lost = [this](bool aInFlight) {
+      ++(aInFlight ? mLostBusy : mLostIdle);
+    };
+  }
+  ~ServerPoolTest() override
+  {
+    mPool.reset();
+    mWork.reset();
+    mThread.join();
+  }
+
+  void OpenPool(const std::string& aAddress)
+  {
+    mOptions.address = aAddress;
+    mPool = std::make_unique<ServerPool>(mContext, mOptions);
+  }
+
+  struct Attempt
+  {
+    std::promise<SendResult> result;
+    std::promise<AttemptEnd> ended;
+    ServerPool::Handle handle = 0;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  AttemptPtr Send(const std::string& aTarget,
+                  const std::string& aBody,
+                  Duration aTimeout = std::chrono::hours(1),
+                  std::function<bool()> aGuard = {})
+  {
+    auto attempt = std::make_shared<Attempt>();
+    SendRequest request;
+    request.target = aTarget;
+    request.body = std::make_shared<const std::string>(aBody);
+    request.requestId = "id-" + aBody.substr(0, 8);
+    request.deadline = std::chrono::steady_clock::now() + aTimeout;
+    request.guard = std::move(aGuard);
+    request.handler = [attempt](SendResult&& aResult) {
+      attempt->result.set_value(std::move(aResult));
+    };
+    request.ended = [attempt](AttemptEnd aEnd, Duration) {
+      attempt->ended.set_value(aEnd);
+    };
+    attempt->handle = mPool->AsyncSend(std::move(request));
+    return attempt;
+  }
+
+  /// Waits until a value that another thread changes has been reached.
+  template<typename F>
+  static void WaitUntil(F aCondition)
+  {
+    while (!aCondition()) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+
+  boost::asio::io_context mContext{ 1 };
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork{ mContext.get_executor() };
+  std::thread mThread;
+  ServerPoolOptions mOptions;
+  std::atomic<int> mLostBusy{ 0 };
+  std::atomic<int> mLostIdle{ 0 };
+  HttpStandIn mServer;
+  std::unique_ptr<ServerPool> mPool;
+};
+
+// Guards against an answer that loses its status, headers or body.
+TEST_F(ServerPoolTest, DeliversTheAnswer)
+{
+  OpenPool(mServer.Address());
+  const auto attempt = Send("/refuse", std::string(900000, 'b'));
+  const auto result = attempt->result.get_future().get();
+  EXPECT_EQ(result.error, SendError::None);
+  EXPECT_EQ(result.status, 503U);
+  EXPECT_EQ(result.Header("x-outcome"), "not-run");
+  EXPECT_TRUE(result.body == std::string(900000, 'b'));
+  EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::Answered);
+}
+
+// Guards against a request that runs twice because the pool sent it again after
+// the connection broke, and against a crash that nobody hears of.
+TEST_F(ServerPoolTest, NeverResendsAfterAByteWasWritten)
+{
+  OpenPool(mServer.Address());
+  const auto attempt = Send("/close", "a");
+  const auto result = attempt->result.get_future().get();
+  EXPECT_EQ(result.error, SendError::Closed);
+  EXPECT_TRUE(result.byteWritten);
+  EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::ConnectionLost);
+  EXPECT_EQ(mLostBusy, 1);
+  Send("/", "b")->result.get_future().get();
+  EXPECT_EQ(mServer.Requests(),
+            (std::vector<std::string>{ "POST /close", "POST /" }));
+}
+
+// Guards against the late answer of a timed-out request being taken for the
+// answer of another one, and against its slot being freed too early.
+TEST_F(ServerPoolTest, LateAnswerReachesNoOtherRequest)
+{
+  OpenPool(mServer.Address());
+  const auto late = Send("/hold", "late", milliseconds(20));
+  EXPECT_EQ(late->result.get_future().get().error, SendError::Timeout);
+  auto ended = late->ended.get_future();
+  for (int i = 0; i < 5; ++i) {
+    const auto body = std::to_string(i);
+    EXPECT_EQ(Send("/", body)->result.get_future().get().body, body);
+  }
+  EXPECT_EQ(ended.wait_for(std::chrono::seconds(0)),
+            std::future_status::timeout);
+  EXPECT_EQ(mPool->Stats().unconfirmed, 1U);
+  mServer.Release();
+  EXPECT_EQ(ended.get(), AttemptEnd::Answered);
+  const auto requests = mServer.Requests();
+  EXPECT_EQ(
+    std::count(requests.begin(), requests.end(), "DELETE /v1/requests/id-late"),
+    1);
+  EXPECT_EQ(Send("/", "x")->result.get_future().get().body, "x");
+}
+
+// Guards against a cancelled attempt that counts as ended although the server
+// may still run it.
+TEST_F(ServerPoolTest, CancelledAttemptStaysUnconfirmedUntilItsAnswer)
+{
+  OpenPool(mServer.Address());
+  const auto attempt = Send("/hold", "c");
+  WaitUntil([&] { return !mServer.Requests().empty(); });
+  mPool->Cancel(attempt->handle);
+  EXPECT_EQ(attempt->result.get_future().get().error, SendError::Cancelled);
+  WaitUntil([&] { return mServer.Requests().size() == 2; });
+  EXPECT_EQ(mServer.Requests()[1], "DELETE /v1/requests/id-c");
+  EXPECT_EQ(mPool->Stats().unconfirmed, 1U);
+  mServer.Release();
+  EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::Answered);
+  WaitUntil([&] { return mPool->Stats().unconfirmed == 0; });
+}
+
+// Guards against an unconfirmed attempt that holds its connection for ever when
+// the server never answers it.
+TEST_F(ServerPoolTest, UnconfirmedAttemptIsGivenUpInTheEnd)
+{
+  mOptions.unconfirmedLimit = milliseconds(10);
+  OpenPool(mServer.Address());
+  const auto attempt = Send("/hold", "g", milliseconds(10));
+  EXPECT_EQ(attempt->result.get_future().get().error, SendError::Timeout);
+  EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::GivenUp);
+}
+
+// Guards against more connections than the server's limit, and against a
+// waiting request that is forgotten or sent after it was cancelled.
+TEST_F(ServerPoolTest, KeepsTheConnectionLimit)
+{
+  OpenPool(mServer.Address());
+  std::vector<AttemptPtr> attempts;
+  attempts.reserve(20);
+  for (int i = 0; i < 20; ++i) {
+    attempts.push_back(Send("/hold", std::to_string(i)));
+  }
+  const auto cancelled = Send("/never", "n");
+  WaitUntil([&] { return mServer.Requests().size() == 3; });
+  mPool->Cancel(cancelled->handle);
+  const auto result = cancelled->result.get_future().get();
+  EXPECT_EQ(result.error, SendError::CancelledUnsent);
+  EXPECT_FALSE(result.byteWritten);
+  mServer.Release();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(attempts[i]->result.get_future().get().body, std::to_string(i));
+  }
+  EXPECT_EQ(mServer.MostConnections(), 3);
+  EXPECT_EQ(mServer.Requests().size(), 20U);
+}
+
+// Guards against a byte that is written after the lease has expired.
+TEST_F(ServerPoolTest, VetoMeansThatNoByteIsWritten)
+{
+  OpenPool(mServer.Address());
+  const auto attempt =
+    Send("/", "v", std::chrono::hours(1), [] { return false; });
+  const auto result = attempt->result.get_future().get();
+  EXPECT_EQ(result.error, SendError::Vetoed);
+  EXPECT_FALSE(result.byteWritten);
+  EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::NotSent);
+  EXPECT_EQ(Send("/", "w")->result.get_future().get().body, "w");
+  EXPECT_EQ(mServer.Requests(), std::vector<std::string>{ "POST /" });
+}
+
+// Guards against "not run" being withheld when no connection could be opened.
+TEST_F(ServerPoolTest, FailedConnectWritesNoByte)
+{
+  unsigned short port = 0;
+  {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+      context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    port = acceptor.local_endpoint().port();
+  }
+  OpenPool("127.0.0.1:" + std::to_string(port));
+  const auto result = Send("/", "f")->result.get_future().get();
+  EXPECT_EQ(result.error, SendError::ConnectFailed);
+  EXPECT_FALSE(result.byteWritten);
+}
+
+// Guards against a pool that does not notice a restarted server, or can't use
+// it afterwards.
+TEST_F(ServerPoolTest, ReconnectsAfterAnIdleConnectionBroke)
+{
+  OpenPool(mServer.Address());
+  for (int i = 1; i <= 3; ++i) {
+    const auto body = std::to_string(i);
+    const auto attempt = Send("/answer-then-close", body);
+    EXPECT_EQ(attempt->result.get_future().get().body, body);
+    WaitUntil([&] { return mLostIdle == i; });
+  }
+  EXPECT_EQ(mLostBusy, 0);
+}
+
+// Guards against a request that never ends because its pool was closed.
+TEST_F(ServerPoolTest, CloseEndsEveryRequest)
+{
+  OpenPool(mServer.Address());
+  const auto attempt = Send("/hold", "h");
+  WaitUntil([&] { return !mServer.Requests().empty(); });
+  mPool->Close();
+  EXPECT_EQ(attempt->result.get_future().get().error, SendError::PoolClosed);
+  EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::ConnectionLost);
+  EXPECT_EQ(Send("/", "i")->result.get_future().get().error,
+            SendError::PoolClosed);
+}
+
+// Reports the cost of a round trip; guards against answers mixed up under load.
+TEST_F(ServerPoolTest, CostOfARoundTrip)
+{
+  constexpr int kRequests = 5000;
+  OpenPool(mServer.Address());
+  const auto body = std::make_shared<const std::string>(200, 'q');
+  std::promise<std::pair<timespec, timespec>> done;
+  timespec begin{};
+  int answers = 0;
+  int good = 0;
+  std::function<void()> send = [&] {
+    SendRequest request;
+    request.target = "/v1/shards/shard-00/search";
+    request.headers = { { "x-index-version", "3" },
+                        { "x-deadline-ms", "100" } };
+    request.body = body;
+    request.requestId = std::to_string(answers);
+    request.deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(60);
+    request.guard = [] { return true; };
+    request.handler = [&](SendResult&& aResult) {
+      good += aResult.body == *body ? 1 : 0;
+      if (++answers == 100) {
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &begin);
+      }
+      if (answers < kRequests + 100) {
+        send();
+        return;
+      }
+      timespec end{};
+      clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
+      done.set_value({ begin, end });
+    };
+    mPool->AsyncSend(std::move(request));
+  };
+  boost::asio::post(mContext, send);
+  const auto [from, to] = done.get_future().get();
+  const auto ns =
+    (to.tv_sec - from.tv_sec) * 1000000000LL + (to.tv_nsec - from.tv_nsec);
+  std::printf("ServerPool: %.1f us of CPU per round trip, 200 byte bodies\n",
+              static_cast<double>(ns) / 1000 / kRequests);
+  EXPECT_EQ(good, kRequests + 100);
+}
+
+} // namespace
+} // namespace bronzedeal::connection
