Add the transport between instances

Cause: entry instances, owners and witnesses exchange envelopes, and fault tests need losses that can be repeated. Change: PeerTransport over the gRPC callback API. A pair uses the stream that either side opened; the queue of a peer is bounded by count, bytes and age.

--- /dev/null
+++ b/src/connection/peer_transport.cpp
@@ -0,0 +1,773 @@
+#include "bronzedeal/connection/peer_transport.hpp"
+
+#include "bronzedeal/peer.grpc.pb.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <grpcpp/grpcpp.h>
+#include <map>
+#include <mutex>
+#include <random>
+#include <shared_mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace bronzedeal::connection {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using peer::Envelope;
+
+/// Finds dead connections that carry no traffic. Membership notices a lost
+/// instance far earlier, so this only frees the sockets; more frequent pings
+/// would count against the control-plane budget of 12 KB/s.
+constexpr int kKeepAliveMs = 30000;
+/// Fits a configuration document of 1 MB without waiting for window updates.
+constexpr int kWindowBytes = 1 << 21;
+
+/// SplitMix64 (Steele, Lea, Flood, OOPSLA 2014): the n-th output of a seed is
+/// found without the ones before it.
+double Uniform(std::uint64_t aSeed, std::uint64_t aIndex)
+{
+  auto n = aSeed + (aIndex + 1) * 0x9E3779B97F4A7C15ULL;
+  n = (n ^ (n >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+  n = (n ^ (n >> 27U)) * 0x94D049BB133111EBULL;
+  n ^= n >> 31U;
+  return static_cast<double>(n >> 11U) * 0x1.0p-53;
+}
+
+std::size_t KindOf(const Envelope& aEnvelope)
+{
+  return static_cast<std::size_t>(aEnvelope.body_case());
+}
+
+} // namespace
+
+std::string_view MessageKindName(std::size_t aKind) noexcept
+{
+  const auto* field =
+    aKind == 0
+      ? nullptr
+      : Envelope::descriptor()->FindFieldByNumber(static_cast<int>(aKind));
+  return field && field->containing_oneof() ? field->name()
+                                            : std::string_view();
+}
+
+bool IsRequestTraffic(std::size_t aKind) noexcept
+{
+  switch (aKind) {
+    case Envelope::kSubRequestBatch:
+    case Envelope::kSubResponse:
+    case Envelope::kCancelSubRequest:
+    case Envelope::kTicketForward:
+    case Envelope::kTicketOutcome:
+      return true;
+    default:
+      return false;
+  }
+}
+
+class PeerTransport::Impl
+{
+public:
+  explicit Impl(PeerTransportOptions aOptions)
+    : mOptions(std::move(aOptions))
+    , mService(*this)
+    , mRandom(mOptions.seed)
+    , mTimerThread([this] { RunTimers(); })
+  {
+  }
+  ~Impl() { Shutdown(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Handler mHandler;
+  BreakHandler mBreakHandler;
+
+  Result<unsigned> Listen(const std::string& aAddress)
+  {
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(
+      aAddress, grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&mService);
+    builder.SetMaxReceiveMessageSize(
+      static_cast<int>(mOptions.maxMessageBytes));
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES,
+                               kWindowBytes);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepAliveMs);
+    builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kKeepAliveMs / 2);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    mServer = builder.BuildAndStart();
+    if (!mServer || port <= 0) {
+      return boost::leaf::new_error(
+        Error{ ResultCode::IoError,
+               "the peer listener can't be opened on " + aAddress,
+               {} });
+    }
+    return static_cast<unsigned>(port);
+  }
+
+  void SetPeers(const std::map<InstanceId, std::string>& aPeers)
+  {
+    std::vector<LinkPtr> removed;
+    {
+      const std::unique_lock lock(mLinksMutex);
+      for (auto it = mLinks.begin(); it != mLinks.end();) {
+        const auto found = aPeers.find(it->first);
+        if (found == aPeers.end() || found->second != it->second->address) {
+          removed.push_back(it->second);
+          it = mLinks.erase(it);
+        } else {
+          ++it;
+        }
+      }
+      for (const auto& it : aPeers) {
+        if (it.first != mOptions.self && !mLinks.contains(it.first)) {
+          mLinks.emplace(it.first, std::make_shared<Link>(it.first, it.second));
+        }
+      }
+    }
+    for (const auto& it : removed) {
+      Remove(*it);
+    }
+  }
+
+  bool Send(const InstanceId& aPeer, Envelope&& aEnvelope)
+  {
+    const auto link = Find(aPeer);
+    if (!link) {
+      return false;
+    }
+    aEnvelope.set_sender(mOptions.self);
+    aEnvelope.set_sender_incarnation(mOptions.incarnation);
+    aEnvelope.set_receiver(aPeer);
+    const std::lock_guard lock(link->mutex);
+    const auto& fault = link->fault;
+    if (fault.cut || fault.drop > 0) {
+      const auto n = link->faultIndex++;
+      if (fault.cut || Uniform(fault.seed, n) < fault.drop) {
+        ++link->traffic.lost;
+        return true;
+      }
+    }
+    if (fault.delay > Duration::zero()) {
+      At(Clock::now() + fault.delay,
+         [this,
+          link,
+          envelope = std::make_shared<Envelope>(std::move(aEnvelope))] {
+           const std::lock_guard delayedLock(link->mutex);
+           Enqueue(link, std::move(*envelope));
+         });
+      return true;
+    }
+    return Enqueue(link, std::move(aEnvelope));
+  }
+
+  void SetLoss(const InstanceId& aPeer, const LinkFault& aFault)
+  {
+    if (const auto link = Find(aPeer)) {
+      const std::lock_guard lock(link->mutex);
+      link->fault = aFault;
+      link->faultIndex = 0;
+    }
+  }
+
+  std::map<InstanceId, PeerTraffic> Traffic() const
+  {
+    std::map<InstanceId, PeerTraffic> traffic;
+    const std::shared_lock lock(mLinksMutex);
+    for (const auto& it : mLinks) {
+      const std::lock_guard linkLock(it.second->mutex);
+      auto& row = traffic.emplace(it.first, it.second->traffic).first->second;
+      row.queued = it.second->queue.size();
+      row.connected =
+        std::any_of(it.second->streams.begin(),
+                    it.second->streams.end(),
+                    [](const Stream* aStream) { return aStream->established; });
+    }
+    return traffic;
+  }
+
+  void Shutdown()
+  {
+    {
+      const std::lock_guard lock(mTimerMutex);
+      if (mStopping) {
+        return;
+      }
+      mStopping = true;
+    }
+    mTimerWake.notify_all();
+    mTimerThread.join();
+    SetPeers({});
+    if (mServer) {
+      mServer->Shutdown(std::chrono::system_clock::now());
+    }
+    std::unique_lock lock(mStreamsMutex);
+    mStreamsEnded.wait(lock, [this] { return mStreams == 0; });
+  }
+
+private:
+  struct Link;
+  using LinkPtr = std::shared_ptr<Link>;
+
+  /// One end of an `Exchange` call. All members but the callbacks are used
+  /// under the mutex of the link.
+  struct Stream
+  {
+    virtual ~Stream() = default;
+    Stream() = default;
+    Stream(const Stream&) = delete;
+    Stream& operator=(const Stream&) = delete;
+
+    /// Starts the write of `out`; with `aMore` further writes follow, so that
+    /// the transport may put them into one packet.
+    virtual void Write(bool aMore) = 0;
+    virtual void Cancel() = 0;
+
+    Envelope out;
+    bool writing = false;
+    bool closed = false;
+    /// The other side has answered.
+    bool established = false;
+  };
+
+  struct Queued
+  {
+    Envelope envelope;
+    std::size_t bytes = 0;
+    TimePoint since;
+  };
+
+  struct Link
+  {
+    Link(InstanceId aId, std::string aAddress)
+      : id(std::move(aId))
+      , address(std::move(aAddress))
+    {
+    }
+
+    const InstanceId id;
+    const std::string address;
+    mutable std::mutex mutex;
+    std::deque<Queued> queue;
+    std::size_t queuedBytes = 0;
+    /// Open streams of either direction; the first one is written to.
+    std::vector<Stream*> streams;
+    std::unique_ptr<peer::Peer::Stub> stub;
+    bool removed = false;
+    Duration backoff{};
+    TimePoint retryAt;
+    bool retryScheduled = false;
+    LinkFault fault;
+    std::uint64_t faultIndex = 0;
+    PeerTraffic traffic;
+  };
+
+  class ClientStream final
+    : public grpc::ClientBidiReactor<Envelope, Envelope>
+    , public Stream
+  {
+  public:
+    ClientStream(Impl& aImpl, LinkPtr aLink)
+      : mImpl(aImpl)
+      , mLink(std::move(aLink))
+    {
+      mImpl.CountStream(1);
+    }
+
+    /// Called with the link locked.
+    void Begin()
+    {
+      mLink->stub->async()->Exchange(&mContext, this);
+      out.set_sender(mImpl.mOptions.self);
+      out.set_sender_incarnation(mImpl.mOptions.incarnation);
+      out.set_receiver(mLink->id);
+      out.mutable_hello();
+      // Keeps the call alive for writes from other threads.
+      AddHold();
+      writing = true;
+      StartWrite(&out);
+      StartRead(&mIn);
+      StartCall();
+    }
+    void Write(bool aMore) override
+    {
+      grpc::WriteOptions options;
+      if (aMore) {
+        options.set_buffer_hint();
+      }
+      StartWrite(&out, options);
+    }
+    void Cancel() override { mContext.TryCancel(); }
+
+    void OnReadInitialMetadataDone(bool aOk) override
+    {
+      const std::lock_guard lock(mLink->mutex);
+      established = aOk;
+      if (aOk) {
+        mLink->backoff = Duration::zero();
+      }
+    }
+    void OnReadDone(bool aOk) override
+    {
+      if (aOk) {
+        mImpl.Received(mLink.get(), std::move(mIn));
+        StartRead(&mIn);
+        return;
+      }
+      {
+        const std::lock_guard lock(mLink->mutex);
+        mImpl.Close(*mLink, *this);
+      }
+      RemoveHold();
+    }
+    void OnWriteDone(bool aOk) override { mImpl.Written(mLink, *this, aOk); }
+    void OnDone(const grpc::Status&) override
+    {
+      mImpl.Broken(mLink, established);
+      auto& impl = mImpl;
+      delete this;
+      impl.CountStream(-1);
+    }
+
+  private:
+    Impl& mImpl;
+    LinkPtr mLink;
+    grpc::ClientContext mContext;
+    Envelope mIn;
+  };
+
+  class ServerStream final
+    : public grpc::ServerBidiReactor<Envelope, Envelope>
+    , public Stream
+  {
+  public:
+    ServerStream(Impl& aImpl, grpc::CallbackServerContext& aContext)
+      : mImpl(aImpl)
+      , mContext(aContext)
+    {
+      mImpl.CountStream(1);
+      StartSendInitialMetadata();
+      StartRead(&mIn);
+    }
+
+    void Write(bool aMore) override
+    {
+      grpc::WriteOptions options;
+      if (aMore) {
+        options.set_buffer_hint();
+      }
+      StartWrite(&out, options);
+    }
+    void Cancel() override { mContext.TryCancel(); }
+
+    void OnReadDone(bool aOk) override
+    {
+      if (!aOk) {
+        End();
+        return;
+      }
+      if (!mLink) {
+        mLink = mImpl.Adopt(mIn.sender(), *this);
+      }
+      mImpl.Received(mLink.get(), std::move(mIn));
+      StartRead(&mIn);
+    }
+    void OnWriteDone(bool aOk) override
+    {
+      if (mImpl.Written(mLink, *this, aOk)) {
+        Finish(grpc::Status::OK);
+      }
+    }
+    void OnDone() override
+    {
+      if (mLink) {
+        mImpl.Broken(mLink, true);
+      }
+      auto& impl = mImpl;
+      delete this;
+      impl.CountStream(-1);
+    }
+
+  private:
+    void End()
+    {
+      if (mLink) {
+        const std::lock_guard lock(mLink->mutex);
+        mImpl.Close(*mLink, *this);
+        if (writing) {
+          // OnWriteDone finishes the call.
+          return;
+        }
+      }
+      Finish(grpc::Status::OK);
+    }
+
+    Impl& mImpl;
+    grpc::CallbackServerContext& mContext;
+    LinkPtr mLink;
+    Envelope mIn;
+  };
+
+  class Service final : public peer::Peer::CallbackService
+  {
+  public:
+    explicit Service(Impl& aImpl)
+      : mImpl(aImpl)
+    {
+    }
+    grpc::ServerBidiReactor<Envelope, Envelope>* Exchange(
+      grpc::CallbackServerContext* aContext) override
+    {
+      return new ServerStream(mImpl, *aContext);
+    }
+
+  private:
+    Impl& mImpl;
+  };
+
+  LinkPtr Find(const InstanceId& aPeer) const
+  {
+    const std::shared_lock lock(mLinksMutex);
+    const auto it = mLinks.find(aPeer);
+    return it == mLinks.end() ? nullptr : it->second;
+  }
+
+  void CountStream(int aChange)
+  {
+    const std::lock_guard lock(mStreamsMutex);
+    mStreams += aChange;
+    if (mStreams == 0) {
+      mStreamsEnded.notify_all();
+    }
+  }
+
+  void Remove(Link& aLink)
+  {
+    const std::lock_guard lock(aLink.mutex);
+    aLink.removed = true;
+    aLink.queue.clear();
+    aLink.queuedBytes = 0;
+    for (auto* it : aLink.streams) {
+      it->closed = true;
+      it->Cancel();
+    }
+  }
+
+  /// Registers an incoming stream with the link of its sender.
+  LinkPtr Adopt(const InstanceId& aSender, Stream& aStream)
+  {
+    auto link = Find(aSender);
+    if (link) {
+      const std::lock_guard lock(link->mutex);
+      aStream.established = true;
+      if (link->removed) {
+        return nullptr;
+      }
+      link->streams.push_back(&aStream);
+      Pump(link);
+    }
+    return link;
+  }
+
+  void Received(Link* aLink, Envelope&& aEnvelope)
+  {
+    if (aEnvelope.receiver() != mOptions.self) {
+      // The address once belonged to another instance.
+      return;
+    }
+    const auto kind = KindOf(aEnvelope);
+    if (aLink && kind < kMessageKinds) {
+      const auto bytes = aEnvelope.ByteSizeLong();
+      const std::lock_guard lock(aLink->mutex);
+      ++aLink->traffic.received[kind].messages;
+      aLink->traffic.received[kind].bytes += bytes;
+    }
+    if (kind != Envelope::kHello && mHandler) {
+      mHandler(std::move(aEnvelope));
+    }
+  }
+
+  // --- with the link locked ---
+
+  bool Enqueue(const LinkPtr& aLink, Envelope&& aEnvelope)
+  {
+    auto& link = *aLink;
+    const auto bytes = aEnvelope.ByteSizeLong();
+    const auto full = [&] {
+      return link.queue.size() >= mOptions.maxQueuedMessages ||
+             link.queuedBytes + bytes > mOptions.maxQueuedBytes;
+    };
+    while (full()) {
+      const auto gossip = std::find_if(
+        link.queue.begin(), link.queue.end(), [](const Queued& aQueued) {
+          return aQueued.envelope.has_gossip();
+        });
+      if (gossip == link.queue.end()) {
+        break;
+      }
+      link.queuedBytes -= gossip->bytes;
+      link.queue.erase(gossip);
+      ++link.traffic.dropped;
+    }
+    if (link.removed || full()) {
+      ++link.traffic.dropped;
+      return false;
+    }
+    link.queue.push_back({ std::move(aEnvelope), bytes, Clock::now() });
+    link.queuedBytes += bytes;
+    Pump(aLink);
+    return true;
+  }
+
+  /// Writes the next message, or opens a stream for it.
+  void Pump(const LinkPtr& aLink)
+  {
+    auto& link = *aLink;
+    if (link.queue.empty() || link.removed) {
+      return;
+    }
+    if (link.streams.empty()) {
+      Open(aLink);
+      return;
+    }
+    auto& stream = *link.streams.front();
+    if (stream.writing || stream.closed) {
+      return;
+    }
+    const auto oldest = Clock::now() - mOptions.maxQueueAge;
+    while (!link.queue.empty()) {
+      auto next = std::move(link.queue.front());
+      link.queue.pop_front();
+      link.queuedBytes -= next.bytes;
+      if (next.since < oldest) {
+        ++link.traffic.dropped;
+        continue;
+      }
+      auto& count = link.traffic.sent[KindOf(next.envelope)];
+      ++count.messages;
+      count.bytes += next.bytes;
+      stream.out = std::move(next.envelope);
+      stream.writing = true;
+      stream.Write(!link.queue.empty());
+      return;
+    }
+  }
+
+  void Open(const LinkPtr& aLink)
+  {
+    auto& link = *aLink;
+    if (Clock::now() < link.retryAt) {
+      if (!link.retryScheduled) {
+        link.retryScheduled = true;
+        At(link.retryAt, [this, aLink] {
+          const std::lock_guard lock(aLink->mutex);
+          aLink->retryScheduled = false;
+          Pump(aLink);
+        });
+      }
+      return;
+    }
+    if (!link.stub) {
+      grpc::ChannelArguments arguments;
+      // Addresses are those of the instances; a proxy is never meant.
+      arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+      arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+      arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                       Milliseconds(mOptions.firstBackoff));
+      arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 1000);
+      arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
+                       Milliseconds(mOptions.longestBackoff));
+      arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+      arguments.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, kWindowBytes);
+      arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepAliveMs);
+      arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+      arguments.SetMaxReceiveMessageSize(
+        static_cast<int>(mOptions.maxMessageBytes));
+      link.stub = peer::Peer::NewStub(grpc::CreateCustomChannel(
+        link.address, grpc::InsecureChannelCredentials(), arguments));
+    }
+    auto* stream = new ClientStream(*this, aLink);
+    link.streams.push_back(stream);
+    stream->Begin();
+  }
+
+  static int Milliseconds(Duration aDuration)
+  {
+    return static_cast<int>(
+      std::chrono::duration_cast<milliseconds>(aDuration).count());
+  }
+
+  static void Close(Link& aLink, Stream& aStream)
+  {
+    aStream.closed = true;
+    std::erase(aLink.streams, &aStream);
+  }
+
+  // --- ends of operations ---
+
+  /// Goes on with the next message; true when the stream was closed meanwhile.
+  bool Written(const LinkPtr& aLink, Stream& aStream, bool aOk)
+  {
+    const std::lock_guard lock(aLink->mutex);
+    aStream.writing = false;
+    // A stream that is still listed is ended by its failing read.
+    const bool ended =
+      std::find(aLink->streams.begin(), aLink->streams.end(), &aStream) ==
+      aLink->streams.end();
+    aStream.closed = aStream.closed || !aOk;
+    if (!ended && !aStream.closed) {
+      Pump(aLink);
+    }
+    return ended;
+  }
+
+  /// A stream of the link has ended.
+  void Broken(const LinkPtr& aLink, bool aEstablished)
+  {
+    {
+      const std::lock_guard lock(aLink->mutex);
+      if (aLink->removed) {
+        return;
+      }
+      if (aLink->streams.empty()) {
+        aLink->backoff =
+          std::clamp(2 * aLink->backoff,
+                     mOptions.firstBackoff,
+                     std::max(mOptions.firstBackoff, mOptions.longestBackoff));
+        aLink->retryAt = Clock::now() + Jittered(aLink->backoff);
+      }
+      Pump(aLink);
+      if (!aEstablished) {
+        return;
+      }
+      ++aLink->traffic.breaks;
+    }
+    if (mBreakHandler) {
+      mBreakHandler(aLink->id);
+    }
+  }
+
+  Duration Jittered(Duration aDuration)
+  {
+    const std::lock_guard lock(mRandomMutex);
+    const auto factor = std::uniform_real_distribution<>(0.5, 1.0)(mRandom);
+    return std::chrono::duration_cast<Duration>(aDuration * factor);
+  }
+
+  // --- timers ---
+
+  void At(TimePoint aTime, std::function<void()> aCall)
+  {
+    {
+      const std::lock_guard lock(mTimerMutex);
+      mTimers.emplace(aTime, std::move(aCall));
+    }
+    mTimerWake.notify_all();
+  }
+
+  void RunTimers()
+  {
+    std::unique_lock lock(mTimerMutex);
+    while (!mStopping) {
+      if (mTimers.empty()) {
+        mTimerWake.wait(lock);
+        continue;
+      }
+      const auto first = mTimers.begin();
+      const auto time = first->first;
+      if (time > Clock::now()) {
+        mTimerWake.wait_until(lock, time);
+        continue;
+      }
+      const auto call = std::move(first->second);
+      mTimers.erase(first);
+      lock.unlock();
+      call();
+      lock.lock();
+    }
+  }
+
+  const PeerTransportOptions mOptions;
+  Service mService;
+  std::unique_ptr<grpc::Server> mServer;
+
+  mutable std::shared_mutex mLinksMutex;
+  std::unordered_map<InstanceId, LinkPtr> mLinks;
+
+  std::mutex mStreamsMutex;
+  std::condition_variable mStreamsEnded;
+  int mStreams = 0;
+
+  std::mutex mRandomMutex;
+  std::minstd_rand mRandom;
+
+  std::mutex mTimerMutex;
+  std::condition_variable mTimerWake;
+  std::multimap<TimePoint, std::function<void()>> mTimers;
+  bool mStopping = false;
+  std::thread mTimerThread;
+};
+
+PeerTransport::PeerTransport(PeerTransportOptions aOptions)
+  : mImpl(std::make_unique<Impl>(std::move(aOptions)))
+{
+}
+
+PeerTransport::~PeerTransport() = default;
+
+void PeerTransport::SetHandler(Handler aHandler)
+{
+  mImpl->mHandler = std::move(aHandler);
+}
+
+void PeerTransport::SetBreakHandler(BreakHandler aHandler)
+{
+  mImpl->mBreakHandler = std::move(aHandler);
+}
+
+Result<unsigned> PeerTransport::Listen(const std::string& aAddress)
+{
+  return mImpl->Listen(aAddress);
+}
+
+void PeerTransport::SetPeers(const std::map<InstanceId, std::string>& aPeers)
+{
+  mImpl->SetPeers(aPeers);
+}
+
+bool PeerTransport::Send(const InstanceId& aPeer, peer::Envelope&& aEnvelope)
+{
+  return mImpl->Send(aPeer, std::move(aEnvelope));
+}
+
+bool PeerTransport::Send(const InstanceId& aPeer,
+                         const peer::Envelope& aEnvelope)
+{
+  return mImpl->Send(aPeer, peer::Envelope(aEnvelope));
+}
+
+void PeerTransport::SetLoss(const InstanceId& aPeer, const LinkFault& aFault)
+{
+  mImpl->SetLoss(aPeer, aFault);
+}
+
+std::map<InstanceId, PeerTraffic> PeerTransport::Traffic() const
+{
+  return mImpl->Traffic();
+}
+
+void PeerTransport::Shutdown()
+{
+  mImpl->Shutdown();
+}
+
+} // namespace bronzedeal::connection
