--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -55,6 +55,8 @@
 {
   Member record;
   bool rosterLeaving = false;
+  /// False for the own instance while no list names it.
+  bool listed = true;
   /// The incarnation has announced that it leaves; it cannot take this back.
   bool left = false;
   /// Set when a later list added the entry to the first one.
@@ -792,9 +794,11 @@
   impl.roster = std::move(aEntries);
   std::vector<Entry> entries;
   entries.push_back(std::move(impl.Own()));
+  entries.front().listed = false;
   const auto own = impl.self.id;
   for (const auto& it : impl.roster) {
     if (it.id == own) {
+      entries.front().listed = true;
       entries.front().rosterLeaving = it.leaving;
       continue;
     }
@@ -966,7 +970,7 @@
     const bool alive = record.status == MemberStatus::Alive ||
                        record.status == MemberStatus::Suspect;
     if (alive && record.sequence != 0 && !record.fenced && !it.left &&
-        !it.rosterLeaving) {
+        !it.rosterLeaving && it.listed) {
       candidates.push_back({ record.id, record.failureDomain, record.region });
     }
   }
