Parsing of callers' requests and the writers of answers

Cause: the front end needs strict bodies with all findings in one pass. Change: ParseQuery, ParseOperation, ParseShardAnswer, canonical JSON, writers.

--- /dev/null
+++ b/src/request/caller_request.cpp
@@ -0,0 +1,510 @@
+#include "bronzedeal/request/caller_request.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+#include <initializer_list>
+#include <iterator>
+#include <utility>
+
+namespace bronzedeal::request {
+
+namespace json = boost::json;
+
+namespace {
+
+using enum ResultCode;
+
+constexpr std::size_t kMaxSeen = 80;
+constexpr std::size_t kMaxLabels = 64;
+/// As in Kubernetes, whose selector syntax the labels are matched with.
+constexpr std::size_t kMaxLabel = 63;
+constexpr std::size_t kMaxShardName = 128;
+
+std::string Shorten(std::string aText)
+{
+  if (aText.size() > kMaxSeen) {
+    // Not inside a UTF-8 sequence, so that the text stays valid JSON.
+    auto end = kMaxSeen;
+    while (end > 0 &&
+           (static_cast<unsigned char>(aText[end]) & 0xC0U) == 0x80) {
+      --end;
+    }
+    aText.resize(end);
+  }
+  return aText;
+}
+
+/// The key as a part of a JSON pointer (RFC 6901).
+std::string PointerPart(std::string_view aKey)
+{
+  std::string part = "/";
+  for (const char it : aKey) {
+    if (it == '~') {
+      part += "~0";
+    } else if (it == '/') {
+      part += "~1";
+    } else {
+      part += it;
+    }
+  }
+  return part;
+}
+
+bool IsLabelText(std::string_view aText, std::string_view aExtra) noexcept
+{
+  return aText.size() <= kMaxLabel &&
+         std::all_of(aText.begin(), aText.end(), [aExtra](char it) {
+           return (it >= 'a' && it <= 'z') || (it >= 'A' && it <= 'Z') ||
+                  (it >= '0' && it <= '9') ||
+                  aExtra.find(it) != std::string_view::npos;
+         });
+}
+
+void AppendCanonical(std::string& aText, const json::value& aValue)
+{
+  if (const auto* object = aValue.if_object()) {
+    std::vector<const json::key_value_pair*> members;
+    members.reserve(object->size());
+    for (const auto& it : *object) {
+      members.push_back(&it);
+    }
+    std::sort(members.begin(), members.end(), [](auto* aLeft, auto* aRight) {
+      return aLeft->key() < aRight->key();
+    });
+    aText += '{';
+    for (const auto* it : members) {
+      aText += it == members.front() ? "" : ",";
+      aText += json::serialize(it->key());
+      aText += ':';
+      AppendCanonical(aText, it->value());
+    }
+    aText += '}';
+  } else if (const auto* array = aValue.if_array()) {
+    aText += '[';
+    for (std::size_t i = 0; i < array->size(); ++i) {
+      aText += i == 0 ? "" : ",";
+      AppendCanonical(aText, (*array)[i]);
+    }
+    aText += ']';
+  } else {
+    aText += json::serialize(aValue);
+  }
+}
+
+std::string Canonical(const json::value& aValue)
+{
+  std::string text;
+  AppendCanonical(text, aValue);
+  return text;
+}
+
+boost::leaf::error_id Refuse(ResultCode aCode, std::string aMessage)
+{
+  return boost::leaf::new_error(Error{ aCode, std::move(aMessage), {} });
+}
+
+Result<json::value> ParseBody(std::string_view aBody)
+{
+  if (aBody.size() > kMaxBody) {
+    return Refuse(BodyTooLarge,
+                  fmt::format("the body has {} bytes; at most {} are allowed",
+                              aBody.size(),
+                              kMaxBody));
+  }
+  json::parse_options options;
+  options.max_depth = kMaxNesting;
+  json::error_code ec;
+  auto value =
+    json::parse(json::string_view(aBody.data(), aBody.size()), ec, {}, options);
+  if (ec) {
+    return Refuse(InvalidJson, "the body is not valid JSON: " + ec.message());
+  }
+  return value;
+}
+
+/// Reads the fields of one body and collects everything wrong with them.
+class FieldReader
+{
+public:
+  explicit FieldReader(const json::value& aBody)
+  {
+    if (aBody.is_object()) {
+      mObject = &aBody.get_object();
+    } else {
+      Add(InvalidField, "", aBody, "an object");
+    }
+  }
+
+  /// The value of a field; reports a missing one when `aRequired`.
+  const json::value* Find(std::string_view aName, bool aRequired)
+  {
+    mKnown.push_back(aName);
+    const auto* value =
+      mObject == nullptr ? nullptr : mObject->if_contains(aName);
+    if (value == nullptr && mObject != nullptr && aRequired) {
+      Add(InvalidField, PointerPart(aName), nullptr, "required");
+    }
+    return value;
+  }
+
+  Labels ReadLabels(std::string_view aName, bool aKind)
+  {
+    Labels labels;
+    const auto* value = Find(aName, true);
+    if (value == nullptr) {
+      return labels;
+    }
+    const auto pointer = PointerPart(aName);
+    const auto* object = value->if_object();
+    if (object == nullptr || object->size() > kMaxLabels) {
+      Add(InvalidField, pointer, *value, "an object of at most 64 labels");
+      return labels;
+    }
+    for (const auto& it : *object) {
+      const auto* text = it.value().if_string();
+      if (it.key().empty() || !IsLabelText(it.key(), "._-/")) {
+        Add(InvalidField,
+            pointer + PointerPart(it.key()),
+            it.value(),
+            "a name of 1 to 63 characters of A-Z, a-z, 0-9 and ._-/");
+      } else if (text == nullptr || !IsLabelText(*text, "._-")) {
+        Add(InvalidField,
+            pointer + PointerPart(it.key()),
+            it.value(),
+            "a string of at most 63 characters of A-Z, a-z, 0-9 and ._-");
+      } else {
+        labels.emplace(it.key(), *text);
+      }
+    }
+    if (aKind && !object->contains("kind")) {
+      Add(InvalidField, pointer + "/kind", nullptr, "required");
+    } else if (aKind && labels.contains("kind") &&
+               labels.find("kind")->second.empty()) {
+      Add(InvalidField, pointer + "/kind", "", "a string that is not empty");
+    }
+    return labels;
+  }
+
+  milliseconds ReadDeadline()
+  {
+    const auto* value = Find("deadline_ms", false);
+    if (value == nullptr) {
+      return kDefaultDeadline;
+    }
+    json::error_code ec;
+    const auto n = value->is_number() ? value->to_number<std::int64_t>(ec) : 0;
+    if (ec || n < 1 || n > kMaxDeadline.count()) {
+      Add(InvalidField, "/deadline_ms", *value, "an integer from 1 to 10000");
+      return kDefaultDeadline;
+    }
+    return milliseconds(n);
+  }
+
+  double ReadCoverage()
+  {
+    const auto* value = Find("min_coverage", false);
+    if (value == nullptr) {
+      return 0;
+    }
+    json::error_code ec;
+    const auto n = value->is_number() ? value->to_number<double>(ec) : -1;
+    if (ec || !(n >= 0 && n <= 1)) {
+      Add(InvalidField, "/min_coverage", *value, "a number from 0 to 1");
+      return 0;
+    }
+    return n;
+  }
+
+  std::string ReadShard()
+  {
+    const auto* value = Find("shard", true);
+    if (value == nullptr) {
+      return {};
+    }
+    const auto* text = value->if_string();
+    if (text == nullptr || text->empty() || text->size() > kMaxShardName) {
+      Add(InvalidField, "/shard", *value, "a string of 1 to 128 bytes");
+      return {};
+    }
+    return { text->data(), text->size() };
+  }
+
+  TicketId ReadTicket()
+  {
+    const auto* value = Find("ticket", true);
+    if (value == nullptr) {
+      return {};
+    }
+    TicketId ticket;
+    const auto* text = value->if_string();
+    const bool valid =
+      text != nullptr && boost::leaf::try_handle_all(
+                           [&]() -> Result<bool> {
+                             BOOST_LEAF_ASSIGN(ticket, ParseTicket(*text));
+                             return true;
+                           },
+                           [] { return false; });
+    if (!valid) {
+      Add(InvalidTicket,
+          "/ticket",
+          *value,
+          "a ticket of the form instance.incarnation.number");
+    }
+    return ticket;
+  }
+
+  std::string ReadJson(std::string_view aName)
+  {
+    const auto* value = Find(aName, true);
+    return value == nullptr ? std::string{} : Canonical(*value);
+  }
+
+  /// Reports unknown fields. An error when anything was reported.
+  Result<void> Finish()
+  {
+    if (mObject != nullptr) {
+      for (const auto& it : *mObject) {
+        if (std::find(mKnown.begin(), mKnown.end(), it.key()) == mKnown.end()) {
+          Add(UnknownField,
+              PointerPart(it.key()),
+              it.value(),
+              fmt::format("one of {}", fmt::join(mKnown, ", ")));
+        }
+      }
+    }
+    if (mError.fields.empty()) {
+      return {};
+    }
+    mError.message = fmt::format("{} invalid field(s); the first is {}: {}",
+                                 mError.fields.size(),
+                                 mError.fields.front().pointer,
+                                 mError.fields.front().allowed);
+    return boost::leaf::new_error(std::move(mError));
+  }
+
+private:
+  /// `InvalidField` tells more than `UnknownField`, and either more than
+  /// `InvalidTicket`, which is used when nothing else is wrong.
+  void Add(ResultCode aCode,
+           std::string aPointer,
+           const json::value& aSeen,
+           std::string aAllowed)
+  {
+    if (mError.fields.empty() || aCode < mError.code) {
+      mError.code = aCode;
+    }
+    mError.fields.push_back({ std::move(aPointer),
+                              Shorten(json::serialize(aSeen)),
+                              std::move(aAllowed) });
+  }
+
+  const json::object* mObject = nullptr;
+  std::vector<std::string_view> mKnown;
+  Error mError;
+};
+
+void AppendString(std::string& aText, std::string_view aValue)
+{
+  const bool plain = std::all_of(aValue.begin(), aValue.end(), [](char it) {
+    return it >= ' ' && it != '"' && it != '\\' && it != 0x7F;
+  });
+  if (plain) {
+    aText += '"';
+    aText += aValue;
+    aText += '"';
+  } else {
+    aText += json::serialize(json::string_view(aValue.data(), aValue.size()));
+  }
+}
+
+void AppendCode(std::string& aText, ResultCode aCode)
+{
+  fmt::format_to(std::back_inserter(aText),
+                 R"("code":{},"code_name":"{}")",
+                 static_cast<int>(aCode),
+                 Describe(aCode).name);
+}
+
+} // namespace
+
+Result<QueryRequest> ParseQuery(std::string_view aBody)
+{
+  BOOST_LEAF_AUTO(body, ParseBody(aBody));
+  FieldReader reader(body);
+  QueryRequest request;
+  request.caller = reader.ReadLabels("caller", false);
+  request.request = reader.ReadLabels("request", true);
+  request.query = reader.ReadJson("query");
+  request.deadline = reader.ReadDeadline();
+  request.minCoverage = reader.ReadCoverage();
+  BOOST_LEAF_CHECK(reader.Finish());
+  return request;
+}
+
+Result<OperationRequest> ParseOperation(std::string_view aBody)
+{
+  BOOST_LEAF_AUTO(body, ParseBody(aBody));
+  FieldReader reader(body);
+  OperationRequest request;
+  request.ticket = reader.ReadTicket();
+  request.caller = reader.ReadLabels("caller", false);
+  request.request = reader.ReadLabels("request", true);
+  request.shard = reader.ReadShard();
+  request.operation = reader.ReadJson("operation");
+  request.deadline = reader.ReadDeadline();
+  BOOST_LEAF_CHECK(reader.Finish());
+  return request;
+}
+
+Result<void> ParseTicketRequest(std::string_view aBody)
+{
+  if (aBody.empty()) {
+    return {};
+  }
+  BOOST_LEAF_AUTO(body, ParseBody(aBody));
+  return FieldReader(body).Finish();
+}
+
+Result<ShardAnswer> ParseShardAnswer(std::string_view aBody)
+{
+  json::parse_options options;
+  options.max_depth = kMaxNesting;
+  json::error_code ec;
+  const auto value =
+    json::parse(json::string_view(aBody.data(), aBody.size()), ec, {}, options);
+  const auto* object = ec ? nullptr : value.if_object();
+  const auto* shard =
+    object == nullptr ? nullptr : object->if_contains("shard");
+  const auto* version =
+    object == nullptr ? nullptr : object->if_contains("index_version");
+  const auto* hits = object == nullptr ? nullptr : object->if_contains("hits");
+  if (shard == nullptr || !shard->is_string() || version == nullptr ||
+      !version->is_number() || hits == nullptr || !hits->is_array()) {
+    return Refuse(ShardBadAnswer,
+                  "the answer is not an object with shard, index_version and "
+                  "hits");
+  }
+  const auto number = version->to_number<IndexVersion>(ec);
+  if (ec) {
+    return Refuse(ShardBadAnswer, "index_version is not a whole number");
+  }
+  return ShardAnswer{ json::value_to<std::string>(*shard),
+                      number,
+                      json::serialize(*hits) };
+}
+
+Result<std::string> CanonicalJson(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(value, ParseBody(aText));
+  return Canonical(value);
+}
+
+std::string WriteQueryAnswer(std::string_view aRequestId,
+                             const QueryAnswer& aAnswer)
+{
+  std::size_t size = 256;
+  for (const auto& it : aAnswer.included) {
+    size += 2 * it.shard.size() + it.hits.size() + 32;
+  }
+  size += aAnswer.missing.size() * 64;
+  std::string text;
+  text.reserve(size);
+  text += R"({"request_id":)";
+  AppendString(text, aRequestId);
+  text += ',';
+  AppendCode(text, aAnswer.code);
+  fmt::format_to(std::back_inserter(text),
+                 R"(,"config_version":{},"index_version":{})",
+                 aAnswer.configVersion,
+                 aAnswer.indexVersion);
+  text += R"(,"coverage":{"included":[)";
+  for (std::size_t i = 0; i < aAnswer.included.size(); ++i) {
+    text += i == 0 ? "" : ",";
+    AppendString(text, aAnswer.included[i].shard);
+  }
+  text += R"(],"missing":[)";
+  for (std::size_t i = 0; i < aAnswer.missing.size(); ++i) {
+    text += i == 0 ? "" : ",";
+    text += R"({"shard":)";
+    AppendString(text, aAnswer.missing[i].shard);
+    text += ',';
+    AppendCode(text, aAnswer.missing[i].code);
+    text += '}';
+  }
+  fmt::format_to(
+    std::back_inserter(text), R"(],"ratio":{}}},"results":[)", aAnswer.ratio);
+  for (std::size_t i = 0; i < aAnswer.included.size(); ++i) {
+    text += i == 0 ? "" : ",";
+    text += R"({"shard":)";
+    AppendString(text, aAnswer.included[i].shard);
+    text += R"(,"hits":)";
+    text += aAnswer.included[i].hits;
+    text += '}';
+  }
+  text += "]}";
+  return text;
+}
+
+std::string WriteRefusal(std::string_view aRequestId, ResultCode aCode)
+{
+  QueryAnswer answer;
+  answer.code = aCode;
+  return WriteQueryAnswer(aRequestId, answer);
+}
+
+std::string WriteTicket(const TicketId& aTicket, milliseconds aValid)
+{
+  std::string text = R"({"ticket":)";
+  AppendString(text, ToString(aTicket));
+  fmt::format_to(
+    std::back_inserter(text), R"(,"valid_ms":{}}})", aValid.count());
+  return text;
+}
+
+std::string WriteOutcome(const TicketOutcome& aOutcome)
+{
+  std::string text =
+    fmt::format(R"({{"outcome":"{}",)", ToString(OutcomeOf(aOutcome.code)));
+  AppendCode(text, aOutcome.code);
+  text += R"(,"result":)";
+  text += aOutcome.result.empty() ? "null" : aOutcome.result;
+  text += '}';
+  return text;
+}
+
+std::string WriteAddresses(const AddressReply& aReply)
+{
+  std::string text = R"({"addresses":[)";
+  for (std::size_t i = 0; i < aReply.addresses.size(); ++i) {
+    text += i == 0 ? "" : ",";
+    AppendString(text, aReply.addresses[i]);
+  }
+  fmt::format_to(
+    std::back_inserter(text), R"(],"ttl_ms":{}}})", aReply.ttl.count());
+  return text;
+}
+
+std::string WriteError(const Error& aError)
+{
+  std::string text = "{";
+  AppendCode(text, aError.code);
+  text += R"(,"message":)";
+  AppendString(text, aError.message);
+  text += R"(,"fields":[)";
+  for (std::size_t i = 0; i < aError.fields.size(); ++i) {
+    const auto& field = aError.fields[i];
+    text += i == 0 ? R"({"pointer":)" : R"(,{"pointer":)";
+    AppendString(text, field.pointer);
+    text += R"(,"seen":)";
+    AppendString(text, field.seen);
+    text += R"(,"allowed":)";
+    AppendString(text, field.allowed);
+    text += '}';
+  }
+  text += "]}";
+  return text;
+}
+
+} // namespace bronzedeal::request
