--- a/include/bronzedeal/request/admission.hpp
+++ b/include/bronzedeal/request/admission.hpp
@@ -17,10 +17,11 @@
 /// Bounds the queries in progress, fairly between keys (a customer, or a
 /// customer and a kind of request), with controlled delay of those that wait.
 ///
-/// A free place goes to the keys in turn, and no key holds more than a share
-/// of all places, so that one key with slow queries leaves places to others. A
-/// query waits at most `interval`; while a key's queue has not been empty for
-/// an interval (standing queue), at most `target`.
+/// A free place goes to the waiting key that holds the fewest places, so that a
+/// key with slow queries gets no larger share than others; no key holds more
+/// than `maxShare` of all places, so that others need not wait for it. A query
+/// waits at most `interval`; while a key's queue has not been empty for an
+/// interval (standing queue), at most `target`.
 /// Not thread safe: guarded by the caller.
 class Admission
 {
@@ -88,7 +89,7 @@
     std::size_t inProgress = 0;
     /// When the queue was last empty.
     TimePoint emptyAt{};
-    /// Round of the last admission; the key with the lowest one is next.
+    /// Number of the last admission; the lowest goes first among equals.
     std::uint64_t turn = 0;
   };
   using Queues = std::map<std::string, Queue, std::less<>>;
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 namespace bronzedeal::request {
 
@@ -144,7 +145,9 @@
     Queue* chosen = nullptr;
     for (auto& [key, queue] : mQueues) {
       if (!queue.entries.empty() && queue.inProgress < KeyLimit() &&
-          (chosen == nullptr || queue.turn < chosen->turn)) {
+          (chosen == nullptr ||
+           std::pair(queue.inProgress, queue.turn) <
+             std::pair(chosen->inProgress, chosen->turn))) {
         chosen = &queue;
       }
     }
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -55,8 +55,12 @@
 {
   if (const auto it = mEntries.find(aContent);
       it != mEntries.end() && aNow < it->second.expires) {
-    return it->second.servers.size() > 1 ? ContentState::Quarantined
-                                         : ContentState::Suspect;
+    // An innocent content clears itself in a trial after the longest time.
+    const auto& entry = it->second;
+    return entry.servers.size() > 1 &&
+               aNow < entry.lastCrash + mOptions.maxQuarantine
+             ? ContentState::Quarantined
+             : ContentState::Suspect;
   }
   const auto it = mSuccesses.find(aContent);
   return it != mSuccesses.end() && aNow - it->second < mOptions.successAge
@@ -71,19 +75,10 @@
     return state;
   }
   auto& entry = mEntries.find(aContent)->second;
-  const auto end = entry.lastCrash + mOptions.maxQuarantine;
-  if (aNow >= end - mOptions.quarantine) {
-    // Attempts no longer renew it; the last ones wait for the end.
-    if (aNow < end) {
-      Extend(entry, end);
-      return state;
-    }
-    // One more trial on one server: an innocent content clears itself.
-    entry.servers = { entry.servers.back() };
-    entry.expires = aNow + mOptions.suspicion;
-    return ContentState::Suspect;
-  }
-  Extend(entry, aNow + mOptions.quarantine);
+  Extend(
+    entry,
+    std::min(aNow + mOptions.quarantine,
+             entry.lastCrash + mOptions.maxQuarantine + mOptions.suspicion));
   return state;
 }
 
--- /dev/null
+++ b/tests/request/admission_test.cpp
@@ -0,0 +1,236 @@
+#include "bronzedeal/request/address_answer.hpp"
+#include "bronzedeal/request/admission.hpp"
+
+#include "support.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace bronzedeal::request {
+namespace {
+
+using enum ResultCode;
+
+struct AdmissionTest : public ::testing::Test
+{
+  std::vector<Admission::Action> actions;
+  TimePoint deadline = kStart + std::chrono::seconds(1);
+
+  static Admission::Options Small()
+  {
+    Admission::Options options;
+    options.limit = 4;
+    options.maxWaiting = 8;
+    return options;
+  }
+  std::vector<Admission::QueryId> Admitted()
+  {
+    std::vector<Admission::QueryId> admitted;
+    for (const auto& it : actions) {
+      if (const auto* action = std::get_if<Admission::Admit>(&it)) {
+        admitted.push_back(action->query);
+      }
+    }
+    return admitted;
+  }
+  std::map<Admission::QueryId, ResultCode> Refused()
+  {
+    std::map<Admission::QueryId, ResultCode> refused;
+    for (const auto& it : actions) {
+      if (const auto* action = std::get_if<Admission::Refuse>(&it)) {
+        refused.emplace(action->query, action->code);
+      }
+    }
+    return refused;
+  }
+};
+
+// Guards against an overloaded customer that takes every place, and against
+// turns that follow the length of queues.
+TEST_F(AdmissionTest, OneKeyLeavesPlacesToOthers)
+{
+  Admission admission(Small());
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    admission.Offer(i, "slow", deadline, kStart, actions);
+  }
+  EXPECT_EQ(Admitted().size(), 3U);
+  admission.Offer(10, "other", deadline, kStart, actions);
+  admission.Offer(11, "other", deadline, kStart, actions);
+  EXPECT_EQ(Admitted().back(), 10U);
+  actions.clear();
+  admission.Finished("slow", kStart, actions);
+  admission.Finished("slow", kStart, actions);
+  EXPECT_EQ(Admitted(), (std::vector<Admission::QueryId>{ 11, 3 }))
+    << "the key with the fewest places is next";
+}
+
+// Guards against a standing queue: every query would be answered late although
+// the servers are only just overloaded.
+TEST_F(AdmissionTest, StandingQueueIsCutToTheTarget)
+{
+  Admission admission(Small());
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    admission.Offer(i, "a", deadline, kStart, actions);
+  }
+  EXPECT_EQ(admission.NextTimer(), kStart + milliseconds(100))
+    << "a burst may wait for a whole interval";
+  admission.Offer(4, "a", deadline, kStart + milliseconds(99), actions);
+  actions.clear();
+  admission.OnTimer(kStart + milliseconds(100), actions);
+  EXPECT_EQ(Refused(),
+            (std::map<std::uint64_t, ResultCode>{ { 3, NotRunOverloaded } }));
+  admission.OnTimer(kStart + milliseconds(104), actions);
+  EXPECT_EQ(Refused().size(), 2U) << "5 ms while the queue stands";
+  EXPECT_FALSE(admission.NextTimer());
+}
+
+// Guards against waiting rooms without bound, and against queries that are
+// admitted after their deadline.
+TEST_F(AdmissionTest, RefusesWhatCanNotWait)
+{
+  Admission admission(Small());
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    admission.Offer(i, "a", deadline, kStart, actions);
+  }
+  EXPECT_EQ(admission.Waiting(), 6U);
+  EXPECT_EQ(Refused().size(), 11U);
+  actions.clear();
+  admission.Offer(30, "b", kStart, kStart, actions);
+  admission.Offer(31, "b", kStart + milliseconds(2), kStart, actions);
+  admission.Offer(32, "b", kStart + milliseconds(2), kStart, actions);
+  admission.OnTimer(kStart + milliseconds(2), actions);
+  EXPECT_EQ(Refused(),
+            (std::map<std::uint64_t, ResultCode>{ { 30, NotRunDeadline },
+                                                  { 32, NotRunDeadline } }));
+  EXPECT_EQ(Admitted(), std::vector<Admission::QueryId>{ 31 });
+}
+
+// Guards against any order of calls that admits beyond the limit or loses,
+// doubles or keeps a query.
+RC_GTEST_PROP(AdmissionProperty, EveryQueryIsDecidedOnce, (std::uint64_t aSeed))
+{
+  std::mt19937_64 random(aSeed);
+  Admission admission(AdmissionTest::Small());
+  std::vector<Admission::Action> actions;
+  std::map<std::uint64_t, std::string> keys;
+  std::vector<std::string> running;
+  std::set<std::uint64_t> decided;
+  auto now = kStart;
+  const auto apply = [&] {
+    for (const auto& it : std::exchange(actions, {})) {
+      if (const auto* admit = std::get_if<Admission::Admit>(&it)) {
+        RC_ASSERT(decided.insert(admit->query).second);
+        running.push_back(keys.at(admit->query));
+      } else {
+        const auto& refuse = std::get<Admission::Refuse>(it);
+        RC_ASSERT(decided.insert(refuse.query).second);
+        RC_ASSERT(IsNotRun(refuse.code));
+      }
+    }
+    RC_ASSERT(running.size() == admission.InProgress());
+    RC_ASSERT(running.size() <= 4U);
+    RC_ASSERT(std::count(running.begin(), running.end(), "a") <= 3);
+  };
+  for (std::uint64_t i = 0; i < 300; ++i) {
+    if (random() % 2 == 0) {
+      keys[i] = std::string(1, static_cast<char>('a' + random() % 3));
+      admission.Offer(
+        i, keys[i], now + milliseconds(random() % 200), now, actions);
+    } else if (!running.empty() && random() % 2 == 0) {
+      const auto key = running.back();
+      running.pop_back();
+      admission.Finished(key, now, actions);
+    } else {
+      now += milliseconds(random() % 10);
+      admission.OnTimer(now, actions);
+    }
+    apply();
+  }
+  while (const auto next = admission.NextTimer()) {
+    admission.OnTimer(*next, actions);
+    apply();
+  }
+  RC_ASSERT(decided.size() == keys.size());
+}
+
+struct AddressTest : public ::testing::Test
+{
+  AddressAnswer answer{ std::mt19937_64(3) };
+  std::vector<AddressCandidate> candidates;
+
+  AddressTest()
+  {
+    for (int i = 0; i < 9; ++i) {
+      candidates.push_back({ fmt::format("entry-{}", i),
+                             fmt::format("10.0.0.{}:80", i),
+                             fmt::format("fd-{}", i % 3) });
+    }
+  }
+};
+
+// Guards against callers that are sent to instances which can't serve them, and
+// against a list within one failure domain.
+TEST_F(AddressTest, NamesUsableInstancesOfDifferentDomains)
+{
+  candidates[0].fenced = true;
+  candidates[1].status = InstanceStatus::Suspect;
+  candidates[2].status = InstanceStatus::Leaving;
+  candidates[3].status = InstanceStatus::Dead;
+  for (int i = 0; i < 200; ++i) {
+    const auto reply = answer.Answer(std::to_string(i), candidates);
+    ASSERT_EQ(reply.addresses.size(), 3U);
+    std::set<int> domains;
+    for (const auto& it : reply.addresses) {
+      const auto n = it[7] - '0';
+      EXPECT_GT(n, 3);
+      domains.insert(n % 3);
+    }
+    EXPECT_EQ(domains.size(), 3U);
+    EXPECT_GE(reply.ttl, milliseconds(8000));
+    EXPECT_LE(reply.ttl, milliseconds(12'000));
+  }
+  for (auto& it : candidates) {
+    it.fenced = true;
+  }
+  EXPECT_TRUE(answer.Answer("x", candidates).addresses.empty());
+}
+
+// Guards against callers that change their connections with every answer, and
+// against a loss of one instance that moves the callers of the others.
+TEST_F(AddressTest, IsStableForACaller)
+{
+  const auto before = answer.Answer("caller-1", candidates);
+  const auto again = answer.Answer("caller-1", candidates);
+  EXPECT_EQ(before.addresses, again.addresses);
+  EXPECT_NE(before.ttl, again.ttl) << "callers must not stay in step";
+  for (auto& it : candidates) {
+    if (std::find(before.addresses.begin(),
+                  before.addresses.end(),
+                  it.address) == before.addresses.end()) {
+      it.status = InstanceStatus::Dead;
+      break;
+    }
+  }
+  EXPECT_EQ(answer.Answer("caller-1", candidates).addresses, before.addresses);
+}
+
+// Guards against weights without effect, and against one owner that gets all
+// callers.
+TEST_F(AddressTest, FollowsOwnedTraffic)
+{
+  candidates[4].ownedShare = 0.5;
+  int first = 0;
+  for (int i = 0; i < 1000; ++i) {
+    first += answer.Answer(std::to_string(i), candidates).addresses[0] ==
+                 candidates[4].address
+               ? 1
+               : 0;
+  }
+  // 0.55 of a total weight of 0.95.
+  EXPECT_NEAR(first, 579, 60);
+}
+
+} // namespace
+} // namespace bronzedeal::request
