--- a/bench/harness.py
+++ b/bench/harness.py
@@ -222,9 +222,11 @@
         self.count = instances
         self.instances = {}
         self.entries = {}
+        self.leaving = set()
         self.revision = 0
         self.document = None
         self.loads = []
+        self.load_number = 0
         self.platform = self.backends = None
         self.kept_logs = bool(os.environ.get("BRONZEDEAL_KEEP"))
 
@@ -427,7 +429,8 @@
 
     def publish_instances(self):
         self.revision += 1
-        servers = [{"id": server, "state": "live"}
+        servers = [{"id": server, "state": (
+                        "leaving" if server in self.leaving else "live")}
                    for _, _, server, _ in self._layout()]
         status, answer = http(
             "PUT", self.platform.addresses["http"], "/control/instances",
@@ -446,6 +449,11 @@
         self.entries.pop(name, None)
         self.publish_instances()
 
+    def set_server_leaving(self, server, leaving):
+        """Publishes a backend server as leaving or as live again."""
+        (self.leaving.add if leaving else self.leaving.discard)(server)
+        self.publish_instances()
+
     def restart_instance(self, name):
         domain = self.entries[name]["failure_domain"]
         return self.start_instance(name, domain)
@@ -517,9 +525,13 @@
 
     def load_options(self, name, rate, duration, **options):
         kinds = self.preset["groups"][self.main_group]["kinds"]
+        # Contents contain the seed, so each run of a cluster needs its own.
+        self.load_number += 1
         return {
-            "seeds": [it["http"] for it in self.entries.values()],
-            "rate": rate, "duration": duration, "seed": self.seed,
+            "seeds": [it["http"] for it in self.entries.values()
+                      if it["state"] == "live"],
+            "rate": rate, "duration": duration,
+            "seed": 1000 * self.seed + self.load_number,
             "traffic": [f"{self.customer}/{it}" for it in kinds],
             "history": self.path(f"{name}.jsonl"), **options}
 
--- a/tools/load/caller.cpp
+++ b/tools/load/caller.cpp
@@ -16,11 +16,12 @@
 Caller::Caller(boost::asio::io_context& aContext,
                HttpClient& aClient,
                std::vector<std::string> aSeeds,
-               std::string aCustomer,
+               const std::string& aCustomer,
+               const std::string& aKind,
                std::uint64_t aSeed)
   : mClient(aClient)
   , mSeeds(std::move(aSeeds))
-  , mCustomer(std::move(aCustomer))
+  , mTarget("/v1/addresses?customer=" + aCustomer + "&kind=" + aKind)
   , mRandom(aSeed)
   , mTimer(aContext)
 {
@@ -59,20 +60,19 @@
   }
   std::uniform_int_distribution<std::size_t> index(0, all.size() - 1);
   const auto address = all[index(mRandom)];
-  mClient.Send(
-    address,
-    { .method = "GET", .target = "/v1/addresses?customer=" + mCustomer },
-    std::chrono::steady_clock::now() + kAskTimeout,
-    [this, address](const ClientResponse& aResponse) {
-      const auto lifetime = Take(aResponse);
-      if (lifetime.count() > 0) {
-        mFailed.clear();
-        Later(lifetime);
-      } else {
-        mFailed.insert(address);
-        Later(kRetryDelay);
-      }
-    });
+  mClient.Send(address,
+               { .method = "GET", .target = mTarget },
+               std::chrono::steady_clock::now() + kAskTimeout,
+               [this, address](const ClientResponse& aResponse) {
+                 const auto lifetime = Take(aResponse);
+                 if (lifetime.count() > 0) {
+                   mFailed.clear();
+                   Later(lifetime);
+                 } else {
+                   mFailed.insert(address);
+                   Later(kRetryDelay);
+                 }
+               });
 }
 
 void Caller::Later(std::chrono::milliseconds aDelay)
--- a/tools/load/caller.hpp
+++ b/tools/load/caller.hpp
@@ -18,7 +18,8 @@
   Caller(boost::asio::io_context& aContext,
          HttpClient& aClient,
          std::vector<std::string> aSeeds,
-         std::string aCustomer,
+         const std::string& aCustomer,
+         const std::string& aKind,
          std::uint64_t aSeed);
 
   /// Begins to ask; goes on until `Stop`.
@@ -38,7 +39,7 @@
 
   HttpClient& mClient;
   std::vector<std::string> mSeeds;
-  std::string mCustomer;
+  std::string mTarget;
   std::mt19937_64 mRandom;
   boost::asio::steady_timer mTimer;
   std::vector<std::string> mAddresses;
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -183,6 +183,7 @@
                                    mClient,
                                    aOptions.seeds,
                                    aOptions.traffic[0].customer,
+                                   aOptions.traffic[0].kind,
                                    aOptions.seed + i + 1));
       }
     }
--- a/tools/standin/backend_server.cpp
+++ b/tools/standin/backend_server.cpp
@@ -288,7 +288,7 @@
   Record(aWork, aOutcome);
   aWork.answer({ .status = aStatus,
                  .body = fmt::format(R"({{"error":"{}"}})", aOutcome),
-                 .notRun = aStatus == 503 });
+                 .notRun = std::string(aStatus == 503 ? aOutcome : "") });
 }
 
 void BackendServer::CountAnswer(bool aCompleted)
--- a/tools/standin/http_listener.cpp
+++ b/tools/standin/http_listener.cpp
@@ -172,8 +172,9 @@
     mResponse.result(aResponse.status);
     mResponse.keep_alive(mKeepAlive);
     mResponse.set(http::field::content_type, "application/json");
-    if (aResponse.notRun) {
+    if (!aResponse.notRun.empty()) {
       mResponse.set("x-outcome", "not-run");
+      mResponse.set("x-reason", aResponse.notRun);
     }
     mResponse.body() = std::move(aResponse.body);
     mResponse.prepare_payload();
--- a/tools/standin/http_listener.hpp
+++ b/tools/standin/http_listener.hpp
@@ -25,8 +25,8 @@
 {
   unsigned status = 200;
   std::string body;
-  /// Adds `x-outcome: not-run`.
-  bool notRun = false;
+  /// Adds `x-outcome: not-run` and `x-reason` with this word unless empty.
+  std::string notRun;
   /// Closes the connection without an answer.
   bool abort = false;
 };
