--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/indexed.hpp>
 #include <boost/histogram/make_histogram.hpp>
 #include <boost/json/value_to.hpp>
 #include <fmt/format.h>
@@ -57,10 +58,10 @@
   {
     const auto rank = aShare * static_cast<double>(count);
     double seen = 0;
-    for (auto it = bins.begin(); it != bins.end(); ++it) {
+    for (auto&& it : bh::indexed(bins, bh::coverage::all)) {
       seen += *it;
       if (seen >= rank) {
-        return std::min(bins.axis(0).bin(it - bins.begin()).upper(), highest);
+        return std::min(it.bin(0).upper(), highest);
       }
     }
     return highest;
