Connect the control plane to the voter's readiness and the notes of the state machines

Cause: no witness granted a lease, because the voter waits for SetReady; audit notes of membership and leases stood twice. Change: SetReady with each tick; notes are taken from the state machines; records are read without a copy.

--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -99,8 +99,8 @@
   void TickRoster(TimePoint aNow);
   void UpdateSelf();
   void PublishFleet();
-  void NoteMemberChanges(const std::vector<Member>& aMembers);
-  void NoteLeaseChanges();
+  void PublishLeases();
+  void TakeNotes();
   void ObserveWithdrawal(TimePoint aNow);
 
   void Receive(const peer::Envelope& aEnvelope);
@@ -152,7 +152,6 @@
   std::uint64_t leaseGeneration = ~0ULL;
   std::vector<SliceId> ownedSlices;
   std::map<FailureDomain, std::string> regions;
-  std::vector<Member> lastMembers;
   ConfigVersion completedVersion = 0;
   std::deque<Outgoing> local;
   std::atomic<bool> released{ false };
@@ -195,7 +194,9 @@
     paused = false;
     Note({ AuditKind::Rejoined, 0, "the latest version heard is in force" });
   }
+  voter.SetReady(distributor.Ready() && !paused);
   TickLeases(now);
+  TakeNotes();
   UpdateSelf();
   PublishFleet();
   ObserveWithdrawal(now);
@@ -215,7 +216,7 @@
 
 void ControlPlane::Impl::TickDistributor(TimePoint aNow)
 {
-  const auto members = membership.Members();
+  const auto members = membership.Records();
   ConfigActions actions;
   distributor.Tick(
     aNow,
@@ -234,7 +235,7 @@
     return;
   }
   std::vector<SliceId> announced;
-  for (const auto& it : membership.Members()) {
+  for (const auto& it : membership.Records()) {
     if (it.id != settings.instance && it.status != MemberStatus::Dead) {
       announced.insert(announced.end(), it.slices.begin(), it.slices.end());
     }
@@ -263,10 +264,10 @@
   for (const auto& it : holder.TakeNewerPeers()) {
     distributor.OnHeard(it.id, it.configVersion);
   }
-  NoteLeaseChanges();
+  PublishLeases();
 }
 
-void ControlPlane::Impl::NoteLeaseChanges()
+void ControlPlane::Impl::PublishLeases()
 {
   if (holder.Generation() == leaseGeneration) {
     return;
@@ -278,13 +279,11 @@
   for (const auto& it : owned) {
     if (!std::binary_search(ownedSlices.begin(), ownedSlices.end(), it)) {
       metrics.Add(Counter::LeasesAcquired);
-      Note({ AuditKind::LeaseAcquired, 0, "slice " + ToString(it) });
     }
   }
   for (const auto& it : ownedSlices) {
     if (!std::binary_search(owned.begin(), owned.end(), it)) {
       metrics.Add(Counter::LeasesLost);
-      Note({ AuditKind::LeaseLost, 0, "slice " + ToString(it) });
     }
   }
   ownedSlices = std::move(owned);
@@ -292,6 +291,16 @@
   metrics.Set(Gauge::SlicesOwned, static_cast<double>(ownedSlices.size()));
 }
 
+void ControlPlane::Impl::TakeNotes()
+{
+  for (auto& it : membership.TakeNotes()) {
+    Note(std::move(it));
+  }
+  for (auto& it : holder.TakeNotes()) {
+    Note(std::move(it));
+  }
+}
+
 void ControlPlane::Impl::UpdateSelf()
 {
   const auto snapshot = snapshots.Load();
@@ -326,7 +335,8 @@
   view->fenced = fence.Fenced();
   view->leaving = leaving;
   view->rosterRevision = membership.Revision();
-  view->members = membership.Members();
+  const auto records = membership.Records();
+  view->members.assign(records.begin(), records.end());
   view->leavingServers = leavingServers;
   for (const auto& member : view->members) {
     if (member.status == MemberStatus::Dead) {
@@ -340,7 +350,6 @@
   for (const auto& slice : holder.Owned()) {
     view->owners[slice] = settings.instance;
   }
-  NoteMemberChanges(view->members);
   const auto alive = std::count_if(
     view->members.begin(), view->members.end(), [](const Member& aMember) {
       return aMember.incarnation != 0 && aMember.status == MemberStatus::Alive;
@@ -351,40 +360,17 @@
   hooks.fleet(*view);
 }
 
-void ControlPlane::Impl::NoteMemberChanges(const std::vector<Member>& aMembers)
-{
-  for (const auto& it : aMembers) {
-    const auto old =
-      std::find_if(lastMembers.begin(),
-                   lastMembers.end(),
-                   [&](const auto& aOld) { return aOld.id == it.id; });
-    if (old == lastMembers.end() || it.id == settings.instance) {
-      continue;
-    }
-    if (old->incarnation != 0 && old->incarnation != it.incarnation) {
-      Note({ AuditKind::MemberReplaced,
-             0,
-             fmt::format("{} runs as incarnation {}", it.id, it.incarnation) });
-    } else if (old->status != it.status) {
-      Note({ AuditKind::MemberStatusChanged,
-             0,
-             fmt::format("{} is {}", it.id, NameOf(it.status)) });
-    }
-  }
-  lastMembers = aMembers;
-}
-
 void ControlPlane::Impl::ObserveWithdrawal(TimePoint aNow)
 {
   const auto snapshot = snapshots.Load();
   if (!snapshot) {
     return;
   }
-  const auto members = membership.Members();
   WithdrawalInputs inputs;
   inputs.rosterRevision = membership.Revision();
   inputs.roster = membership.Roster();
-  inputs.members = members;
+  inputs.members = membership.Records();
+  inputs.epoch = membership.Epoch();
   inputs.slices = snapshot->Slices();
   inputs.maxSubrequest = snapshot->Content().limits.maxSubrequest;
   withdrawal.Observe(inputs, aNow);
@@ -576,7 +562,7 @@
 bool ControlPlane::Impl::IsReader() const
 {
   std::vector<InstanceId> live;
-  for (const auto& it : membership.Members()) {
+  for (const auto& it : membership.Records()) {
     if (it.incarnation != 0 && it.status == MemberStatus::Alive) {
       live.push_back(it.id);
     }
@@ -600,7 +586,7 @@
   if (aNow < nextRosterPull) {
     return;
   }
-  const auto members = membership.Members();
+  const auto members = membership.Records();
   const auto newer =
     std::find_if(members.begin(), members.end(), [&](const Member& aMember) {
       return aMember.rosterRevision > membership.Revision() &&
--- a/src/daemon/operation_service.cpp
+++ b/src/daemon/operation_service.cpp
@@ -93,7 +93,7 @@
               bool aMayForward,
               std::function<void(Error)> aInvalid,
               OutcomeHandler aHandler);
-  void Redeem(OperationRequest aRequest, OutcomeHandler aHandler);
+  void Redeem(OperationRequest aRequest, const OutcomeHandler& aHandler);
   void Forward(const OperationRequest& aRequest,
                const std::string& aBody,
                const OutcomeHandler& aHandler);
@@ -148,7 +148,7 @@
   }
   const bool own = request.ticket.instance == settings.instance;
   if (own && request.ticket.incarnation == incarnation) {
-    Redeem(std::move(request), std::move(aHandler));
+    Redeem(std::move(request), aHandler);
   } else if (own || !aMayForward) {
     aHandler({ ResultCode::OutcomeUnknownIssuerGone, {} });
   } else {
@@ -157,7 +157,7 @@
 }
 
 void OperationService::Impl::Redeem(OperationRequest aRequest,
-                                    OutcomeHandler aHandler)
+                                    const OutcomeHandler& aHandler)
 {
   const auto fingerprint =
     FingerprintOf(aRequest.request.at("kind"), aRequest.operation);
@@ -167,11 +167,11 @@
     const std::lock_guard lock(mutex);
     const auto waiter = nextWaiter++;
     use = tickets.Redeem(ticket, fingerprint, waiter, SteadyClock::now());
-    if (!std::holds_alternative<TicketTable::Answer>(use)) {
-      // The first use waits in the same way as a duplicate.
-      waiters.emplace(
-        std::holds_alternative<TicketTable::Run>(use) ? ~ticket.number : waiter,
-        std::move(aHandler));
+    // The first use waits in the same way as a duplicate.
+    if (std::holds_alternative<TicketTable::Run>(use)) {
+      waiters.emplace(~ticket.number, aHandler);
+    } else if (std::holds_alternative<TicketTable::Wait>(use)) {
+      waiters.emplace(waiter, aHandler);
     }
   }
   if (const auto* answer = std::get_if<TicketTable::Answer>(&use)) {
--- a/src/daemon/query_service.cpp
+++ b/src/daemon/query_service.cpp
@@ -519,6 +519,7 @@
 {
   const auto& content = aSnapshot.Content();
   std::vector<ServerId> servers;
+  servers.reserve(aSnapshot.Servers().size());
   for (const auto& it : aSnapshot.Servers()) {
     servers.push_back(it.id);
   }
@@ -613,6 +614,7 @@
   const auto now = SteadyClock::now();
   const std::lock_guard lock(mImpl->mutex);
   std::vector<ReplicaChooser::Index> candidates;
+  candidates.reserve(aReplicas.size());
   for (const auto& it : aReplicas) {
     candidates.push_back(mImpl->chooser.IndexOf(it.server, now));
   }
--- a/tests/process/world_test.cpp
+++ b/tests/process/world_test.cpp
@@ -39,8 +39,8 @@
 
 rc::Gen<Fault> AnyFault()
 {
-  const auto kind = rc::gen::map(
-    Uniform(0, kFaultKinds), [](int aIt) { return FaultKind(aIt); });
+  const auto kind = rc::gen::map(Uniform(0, kFaultKinds),
+                                 [](int aIt) { return FaultKind(aIt); });
   const auto time = [](int aFrom, int aTo) {
     return rc::gen::map(Uniform(aFrom, aTo),
                         [](int aIt) { return milliseconds(aIt); });
@@ -98,8 +98,7 @@
 }
 
 class WorldControl : public ::testing::TestWithParam<Control>
-{
-};
+{};
 
 // Guards against a check that can't fail: without the guard, the same schedules
 // must lead to the violation that the guard prevents.
