Answer a request of the stand-in only once

Cause: a timer that had expired when the cancellation arrived ran its handler and wrote a second answer, which ended the process by an assertion in Beast. Change: a request that is no longer running is not finished again.

--- a/tools/standin/backend_server.cpp
+++ b/tools/standin/backend_server.cpp
@@ -274,7 +274,10 @@
                            std::string_view aOutcome,
                            HttpResponse aResponse)
 {
-  std::erase(mRunning, aWork);
+  // A timer that expired together with a cancellation still runs its handler.
+  if (std::erase(mRunning, aWork) == 0) {
+    return;
+  }
   aWork->timer->cancel();
   Record(*aWork, aOutcome);
   CountAnswer(aOutcome == "ok");
