--- a/include/bronzedeal/process/config_distributor.hpp
+++ b/include/bronzedeal/process/config_distributor.hpp
@@ -64,6 +64,10 @@
   Duration handOver = milliseconds(1000);
   /// Shortest time between two reads, for a service that answers at once.
   Duration readGap = milliseconds(200);
+  /// A joining instance waits this long after it has reached a majority, or
+  /// until all members have reported. Members that restarted at the same time
+  /// count towards the majority and know no version.
+  Duration joinWait = milliseconds(1000);
   std::size_t history = 4;
   std::size_t rememberedInvalid = 64;
   std::uint64_t seed = 1;
@@ -160,8 +164,8 @@
   /// The document in force; nullptr when there is none yet.
   [[nodiscard]] const Configuration* Current() const noexcept;
 
-  /// True when a document is in force, a majority has been heard from (or no
-  /// peer is listed), and no live member reported a higher valid version then.
+  /// True when a document is in force, a majority has reported (or no peer is
+  /// listed), and no live member had a higher valid version then.
   [[nodiscard]] bool Ready() const noexcept;
 
 private:
--- a/src/process/config_distributor.cpp
+++ b/src/process/config_distributor.cpp
@@ -96,7 +96,7 @@
   std::optional<TimePoint> notReaderSince;
   std::uint64_t window = 0;
   std::vector<InstanceId> readers;
-  bool majority = false;
+  std::optional<TimePoint> majoritySince;
   bool ready = false;
 
   ConfigVersion Version() const { return current ? current->version : 0; }
@@ -312,13 +312,18 @@
     nextRead = std::max(aNow, readStart + options.readGap);
   }
 
-  void CheckReady(const ConfigInputs& aInputs)
+  void CheckReady(const ConfigInputs& aInputs, TimePoint aNow)
   {
     if (ready) {
       return;
     }
-    majority = majority || ReachesMajority(aInputs.contact);
-    if (!majority || !current) {
+    const auto& contact = aInputs.contact;
+    if (!majoritySince && ReachesMajority(contact)) {
+      majoritySince = aNow;
+    }
+    if (!current || !majoritySince ||
+        (contact.reported < contact.roster &&
+         aNow - *majoritySince < options.joinWait)) {
       return;
     }
     ready = std::none_of(
@@ -365,7 +370,7 @@
   }
   impl.TickReads(aNow, aInputs, aActions);
   impl.TickPulls(aNow, aInputs, aActions);
-  impl.CheckReady(aInputs);
+  impl.CheckReady(aInputs, aNow);
 }
 
 void ConfigDistributor::OnServiceAnswer(const ServiceAnswer& aAnswer,
@@ -492,7 +497,7 @@
 
 void ConfigDistributor::Rejoin()
 {
-  mImpl->majority = false;
+  mImpl->majoritySince.reset();
   mImpl->ready = false;
 }
 
