--- a/tests/process/world.cpp
+++ b/tests/process/world.cpp
@@ -115,6 +115,7 @@
   std::vector<Read> reads;
   ConfigVersion published = 1;
   int serviceDown = 0;
+  int serviceStale = 0;
   double loss = 0;
   milliseconds delay{ 0 };
   std::multiset<std::pair<std::size_t, std::size_t>> cuts;
@@ -375,7 +376,8 @@
                                 ToString(slice)));
         }
       }
-      const auto version = aIt.distributor->Current()->version;
+      const auto* current = aIt.distributor->Current();
+      const auto version = current == nullptr ? 0 : current->version;
       if (version < complete) {
         Violation(fmt::format("{} sends under version {} after the claim for "
                               "version {}",
@@ -477,18 +479,23 @@
   void AnswerReads()
   {
     std::erase_if(reads, [&](const Read& aRead) {
-      if (serviceDown == 0 && aRead.after >= published) {
+      const bool stale = serviceStale > 0 && published > 1;
+      if (serviceDown == 0 && !stale && aRead.after >= published) {
         return false;
       }
       ServiceAnswer answer;
       if (serviceDown == 0) {
-        answer = { ServiceStatus::Document, std::to_string(published) };
+        answer = { ServiceStatus::Document,
+                   std::to_string(published - (stale ? 1 : 0)) };
       }
       At(now + milliseconds(2 + Below(5)), [this, aRead, answer] {
         auto& it = instances[aRead.instance];
         if (it.process == aRead.process && it.readToken == aRead.token) {
           Later(it, [this, &it, answer] {
             ConfigActions actions;
+            if (options.off == Guard::VersionOrder) {
+              it.distributor.emplace(it.id, TextFunctions());
+            }
             it.distributor->OnServiceAnswer(answer, Local(it), actions);
             Apply(it, actions);
           });
@@ -662,6 +669,9 @@
       case FaultKind::Replace:
         Replace(it, aFault);
         break;
+      case FaultKind::ServiceStale:
+        ++serviceStale;
+        break;
     }
   }
 
@@ -699,6 +709,10 @@
       case FaultKind::ServiceDown:
         --serviceDown;
         break;
+      case FaultKind::ServiceStale:
+        --serviceStale;
+        AnswerReads();
+        break;
     }
   }
 
