--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -55,10 +55,11 @@
 bool IsLabelText(std::string_view aText, std::string_view aExtra) noexcept
 {
   return aText.size() <= kMaxLabel &&
-         std::all_of(aText.begin(), aText.end(), [aExtra](char it) {
-           return (it >= 'a' && it <= 'z') || (it >= 'A' && it <= 'Z') ||
-                  (it >= '0' && it <= '9') ||
-                  aExtra.find(it) != std::string_view::npos;
+         std::all_of(aText.begin(), aText.end(), [aExtra](char aChar) {
+           return (aChar >= 'a' && aChar <= 'z') ||
+                  (aChar >= 'A' && aChar <= 'Z') ||
+                  (aChar >= '0' && aChar <= '9') ||
+                  aExtra.find(aChar) != std::string_view::npos;
          });
 }
 
@@ -307,8 +308,8 @@
 
 void AppendString(std::string& aText, std::string_view aValue)
 {
-  const bool plain = std::all_of(aValue.begin(), aValue.end(), [](char it) {
-    return it >= ' ' && it != '"' && it != '\\' && it != 0x7F;
+  const bool plain = std::all_of(aValue.begin(), aValue.end(), [](char aChar) {
+    return aChar >= ' ' && aChar != '"' && aChar != '\\' && aChar != 0x7F;
   });
   if (plain) {
     aText += '"';
@@ -339,7 +340,9 @@
   request.query = reader.ReadJson("query");
   request.deadline = reader.ReadDeadline();
   request.minCoverage = reader.ReadCoverage();
-  BOOST_LEAF_CHECK(reader.Finish());
+  if (auto checked = reader.Finish(); !checked) {
+    return checked.error();
+  }
   return request;
 }
 
@@ -354,7 +357,9 @@
   request.shard = reader.ReadShard();
   request.operation = reader.ReadJson("operation");
   request.deadline = reader.ReadDeadline();
-  BOOST_LEAF_CHECK(reader.Finish());
+  if (auto checked = reader.Finish(); !checked) {
+    return checked.error();
+  }
   return request;
 }
 
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -298,8 +298,9 @@
 
 void Quarantine::Expire(TimePoint aNow)
 {
-  std::erase_if(mEntries,
-                [aNow](const auto& it) { return aNow >= it.second.expires; });
+  std::erase_if(mEntries, [aNow](const auto& aItem) {
+    return aNow >= aItem.second.expires;
+  });
   while (!mSuccessOrder.empty() &&
          aNow - mSuccessOrder.front().at >= mOptions.successAge) {
     DropOldestSuccess();
--- a/src/request/query_run.cpp
+++ b/src/request/query_run.cpp
@@ -506,16 +506,16 @@
   }
   // Nothing ran: name the reason when all shards share it.
   const auto code = aAnswer.missing.front().code;
-  const auto same =
-    std::all_of(aAnswer.missing.begin(),
-                aAnswer.missing.end(),
-                [code](const MissingShard& it) { return it.code == code; });
+  const auto same = std::all_of(
+    aAnswer.missing.begin(),
+    aAnswer.missing.end(),
+    [code](const MissingShard& aShard) { return aShard.code == code; });
   return same && IsNotRun(code) ? code : NotRunLowCoverage;
 }
 
 bool QueryRun::RestartWorthwhile(TimePoint aNow) const noexcept
 {
-  return mOptions.mayRestart && mVersionMissing * 2 > mShards.size() &&
+  return mOptions.mayRestart && mVersionMissing > mShards.size() / 2 &&
          (mNewestIndexVersion == 0 ||
           mNewestIndexVersion > mPlan.indexVersion) &&
          mOptions.deadline - aNow >= mOptions.minRestartTime;
--- a/src/request/ticket_table.cpp
+++ b/src/request/ticket_table.cpp
@@ -18,10 +18,11 @@
 bool IsInstanceName(std::string_view aText) noexcept
 {
   return !aText.empty() && aText.size() <= kMaxInstanceName &&
-         std::all_of(aText.begin(), aText.end(), [](char it) {
-           return (it >= 'a' && it <= 'z') || (it >= 'A' && it <= 'Z') ||
-                  (it >= '0' && it <= '9') || it == '.' || it == '_' ||
-                  it == '-';
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return (aChar >= 'a' && aChar <= 'z') ||
+                  (aChar >= 'A' && aChar <= 'Z') ||
+                  (aChar >= '0' && aChar <= '9') || aChar == '.' ||
+                  aChar == '_' || aChar == '-';
          });
 }
 
--- a/tests/request/budget_test.cpp
+++ b/tests/request/budget_test.cpp
@@ -34,6 +34,7 @@
   HedgeBudget shared(5, 10'000, 0);
   std::atomic<int> spent = 0;
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int i = 0; i < 4; ++i) {
     threads.emplace_back([&] {
       for (int n = 0; n < 20'000; ++n) {
