--- a/fuzz/fuzz_request.cpp
+++ b/fuzz/fuzz_request.cpp
@@ -73,6 +73,11 @@
     case 3:
       Try(
         [&]() -> Result<void> {
+          if (auto result = ParseOperationAnswer(text)) {
+            boost::json::error_code ec;
+            boost::json::parse(result.value(), ec);
+            Require(!ec);
+          }
           BOOST_LEAF_AUTO(answer, ParseShardAnswer(text));
           boost::json::error_code ec;
           boost::json::parse(answer.hits, ec);
--- a/include/bronzedeal/request/caller_request.hpp
+++ b/include/bronzedeal/request/caller_request.hpp
@@ -63,7 +63,11 @@
 /// answer more than bronzedeal uses.
 [[nodiscard]] Result<ShardAnswer> ParseShardAnswer(std::string_view aBody);
 
+/// The JSON text of `operation_result`. Error: `ShardBadAnswer`.
+[[nodiscard]] Result<std::string> ParseOperationAnswer(std::string_view aBody);
+
 /// The same JSON value gives the same text: no white space, keys sorted.
+/// Numbers keep their text, so `1.0` and `1` are different contents.
 /// Errors as of `ParseQuery`.
 [[nodiscard]] Result<std::string> CanonicalJson(std::string_view aText);
 
--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -1,5 +1,7 @@
 #include "bronzedeal/request/caller_request.hpp"
 
+#include "json_text.hpp"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -63,44 +65,6 @@
          });
 }
 
-void AppendCanonical(std::string& aText, const json::value& aValue)
-{
-  if (const auto* object = aValue.if_object()) {
-    std::vector<const json::key_value_pair*> members;
-    members.reserve(object->size());
-    for (const auto& it : *object) {
-      members.push_back(&it);
-    }
-    std::sort(members.begin(), members.end(), [](auto* aLeft, auto* aRight) {
-      return aLeft->key() < aRight->key();
-    });
-    aText += '{';
-    for (const auto* it : members) {
-      aText += it == members.front() ? "" : ",";
-      aText += json::serialize(it->key());
-      aText += ':';
-      AppendCanonical(aText, it->value());
-    }
-    aText += '}';
-  } else if (const auto* array = aValue.if_array()) {
-    aText += '[';
-    for (std::size_t i = 0; i < array->size(); ++i) {
-      aText += i == 0 ? "" : ",";
-      AppendCanonical(aText, (*array)[i]);
-    }
-    aText += ']';
-  } else {
-    aText += json::serialize(aValue);
-  }
-}
-
-std::string Canonical(const json::value& aValue)
-{
-  std::string text;
-  AppendCanonical(text, aValue);
-  return text;
-}
-
 boost::leaf::error_id Refuse(ResultCode aCode, std::string aMessage)
 {
   return boost::leaf::new_error(Error{ aCode, std::move(aMessage), {} });
@@ -125,6 +89,17 @@
   return value;
 }
 
+/// A server's answer; an empty object when it is none.
+json::value ParseAnswer(std::string_view aBody)
+{
+  json::parse_options options;
+  options.max_depth = kMaxNesting;
+  json::error_code ec;
+  auto value =
+    json::parse(json::string_view(aBody.data(), aBody.size()), ec, {}, options);
+  return !ec && value.is_object() ? value : json::value(json::object_kind);
+}
+
 /// Reads the fields of one body and collects everything wrong with them.
 class FieldReader
 {
@@ -256,10 +231,11 @@
     return ticket;
   }
 
-  std::string ReadJson(std::string_view aName)
+  std::string ReadJson(std::string_view aName, std::string_view aBody)
   {
-    const auto* value = Find(aName, true);
-    return value == nullptr ? std::string{} : Canonical(*value);
+    return Find(aName, true) == nullptr
+             ? std::string{}
+             : CanonicalText(MemberText(aBody, aName));
   }
 
   /// Reports unknown fields. An error when anything was reported.
@@ -337,7 +313,7 @@
   QueryRequest request;
   request.caller = reader.ReadLabels("caller", false);
   request.request = reader.ReadLabels("request", true);
-  request.query = reader.ReadJson("query");
+  request.query = reader.ReadJson("query", aBody);
   request.deadline = reader.ReadDeadline();
   request.minCoverage = reader.ReadCoverage();
   if (auto checked = reader.Finish(); !checked) {
@@ -355,7 +331,7 @@
   request.caller = reader.ReadLabels("caller", false);
   request.request = reader.ReadLabels("request", true);
   request.shard = reader.ReadShard();
-  request.operation = reader.ReadJson("operation");
+  request.operation = reader.ReadJson("operation", aBody);
   request.deadline = reader.ReadDeadline();
   if (auto checked = reader.Finish(); !checked) {
     return checked.error();
@@ -374,36 +350,42 @@
 
 Result<ShardAnswer> ParseShardAnswer(std::string_view aBody)
 {
-  json::parse_options options;
-  options.max_depth = kMaxNesting;
-  json::error_code ec;
-  const auto value =
-    json::parse(json::string_view(aBody.data(), aBody.size()), ec, {}, options);
-  const auto* object = ec ? nullptr : value.if_object();
-  const auto* shard =
-    object == nullptr ? nullptr : object->if_contains("shard");
-  const auto* version =
-    object == nullptr ? nullptr : object->if_contains("index_version");
-  const auto* hits = object == nullptr ? nullptr : object->if_contains("hits");
+  const auto value = ParseAnswer(aBody);
+  const auto* shard = value.as_object().if_contains("shard");
+  const auto* version = value.as_object().if_contains("index_version");
+  const auto* hits = value.as_object().if_contains("hits");
   if (shard == nullptr || !shard->is_string() || version == nullptr ||
       !version->is_number() || hits == nullptr || !hits->is_array()) {
     return Refuse(ShardBadAnswer,
                   "the answer is not an object with shard, index_version and "
                   "hits");
   }
+  json::error_code ec;
   const auto number = version->to_number<IndexVersion>(ec);
   if (ec) {
     return Refuse(ShardBadAnswer, "index_version is not a whole number");
   }
   return ShardAnswer{ json::value_to<std::string>(*shard),
                       number,
-                      json::serialize(*hits) };
+                      std::string(MemberText(aBody, "hits")) };
+}
+
+Result<std::string> ParseOperationAnswer(std::string_view aBody)
+{
+  const auto value = ParseAnswer(aBody);
+  if (!value.as_object().contains("operation_result")) {
+    return Refuse(ShardBadAnswer,
+                  "the answer is not an object with operation_result");
+  }
+  return std::string(MemberText(aBody, "operation_result"));
 }
 
 Result<std::string> CanonicalJson(std::string_view aText)
 {
-  BOOST_LEAF_AUTO(value, ParseBody(aText));
-  return Canonical(value);
+  if (auto value = ParseBody(aText); !value) {
+    return value.error();
+  }
+  return CanonicalText(aText);
 }
 
 std::string WriteQueryAnswer(std::string_view aRequestId,
