Tell the lease voter when it may grant

No slice was ever leased: the control plane never set the voter ready, so every witness answered NotReady and each query ended with NotRunNoOwner. The control plane now sets it from the distributor's readiness and the pause state before each lease tick.

--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -229,6 +229,8 @@
 
 void ControlPlane::Impl::TickLeases(TimePoint aNow)
 {
+  // A witness without the version that its quorum has may grant nothing.
+  voter.SetReady(distributor.Ready() && !paused);
   const auto snapshot = snapshots.Load();
   if (!snapshot) {
     return;
--- a/tests/path/support.py
+++ b/tests/path/support.py
@@ -19,7 +19,8 @@
     def setUp(self):
         self.cluster = harness.Cluster(**{
             "instances": 3, "services": SERVICES, "groups": ("lots", "orders"),
-            "settings": {"shutdown_linger_ms": 1000}, **self.options})
+            "settings": {"shutdown_linger_ms": 1000, "address_ttl_ms": 800},
+            **self.options})
         self.addCleanup(self.cluster.close)
         self.cluster.start()
         self.cluster.wait_ready(timeout=15)
