--- a/include/bronzedeal/request/query_run.hpp
+++ b/include/bronzedeal/request/query_run.hpp
@@ -26,6 +26,9 @@
   double minCoverage = 0;
   ContentState content = ContentState::Unproven;
   bool hedging = true;
+  /// Hedges of one shard: 1, or 2 to hedge a straggling hedge as well. The
+  /// second may go to a replica that was tried before.
+  std::uint32_t hedgesPerShard = 1;
   bool canary = true;
   /// False in the second run of a query, which is not restarted again.
   bool mayRestart = true;
@@ -177,6 +180,7 @@
     /// Bit set of the replicas already tried; replicas beyond 32 are not used.
     std::uint32_t tried = 0;
     std::uint32_t running = 0;
+    std::uint32_t hedges = 0;
     std::uint32_t firstReplica = 0;
     std::uint32_t replicas = 0;
     LatencyDigests::Index digest = 0;
--- a/src/request/query_run.cpp
+++ b/src/request/query_run.cpp
@@ -210,9 +210,10 @@
   std::array<ReplicaChooser::Index, kMaxReplicas> candidates{};
   std::array<std::uint8_t, kMaxReplicas> positions{};
   std::size_t count = 0;
+  const bool again = aReason == Reason::Hedge && shard.hedges > 0;
   for (std::uint32_t n = 0; n < shard.replicas; ++n) {
     const auto server = mServers[shard.firstReplica + n];
-    if ((shard.tried & (1U << n)) != 0 ||
+    if ((!again && (shard.tried & (1U << n)) != 0) ||
         (aReason == Reason::Hedge && !mChooser.AllowsHedge(server, aNow))) {
       continue;
     }
@@ -248,7 +249,9 @@
   if (deadline < mOptions.deadline) {
     Arm({ deadline, aShard, index });
   }
-  if (aReason != Reason::Hedge && mOptions.hedging && !mSuspect && count > 1) {
+  shard.hedges += aReason == Reason::Hedge ? 1 : 0;
+  if (mOptions.hedging && !mSuspect && shard.hedges < mOptions.hedgesPerShard &&
+      (count > 1 || shard.hedges > 0)) {
     ArmHedge(aShard, HedgeDelay(aShard, aNow), aNow);
   }
   return true;
@@ -549,7 +552,9 @@
   const auto all =
     shard.replicas == kMaxReplicas ? ~0U : (1U << shard.replicas) - 1U;
   return aTimer.at == shard.hedgeAt && shard.state == ShardState::Running &&
-         shard.running == 1 && shard.tried != all && !mSuspect;
+         shard.hedges < mOptions.hedgesPerShard &&
+         shard.running == shard.hedges + 1 &&
+         (shard.hedges > 0 ? !shard.failed : shard.tried != all) && !mSuspect;
 }
 
 Duration QueryRun::HedgeDelay(std::uint32_t aShard, TimePoint aNow)
