--- a/tests/request/support.hpp
+++ b/tests/request/support.hpp
@@ -18,6 +18,7 @@
                                    IndexVersion aIndex = 3)
 {
   version::RoutePlan plan;
+  plan.code = ResultCode::Ok;
   plan.configVersion = 12;
   plan.indexVersion = aIndex;
   for (std::size_t i = 0; i < aShards; ++i) {
