--- a/tests/request/query_run_test.cpp
+++ b/tests/request/query_run_test.cpp
@@ -302,7 +302,9 @@
   EXPECT_TRUE(Take<Dispatch>().empty());
   EXPECT_EQ(Answer().code, NotRunQuarantined);
 
-  QueryRun empty({}, options, budget, digests, chooser, kStart);
+  version::RoutePlan noShards;
+  noShards.code = Ok;
+  QueryRun empty(noShards, options, budget, digests, chooser, kStart);
   empty.Start(kStart, actions);
   EXPECT_EQ(Answer().code, Ok);
 }
