--- a/include/bronzedeal/daemon/instance_list.hpp
+++ b/include/bronzedeal/daemon/instance_list.hpp
@@ -3,8 +3,10 @@
 #include "bronzedeal/process/roster.hpp"
 #include "bronzedeal/types.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -16,6 +18,8 @@
   RosterRevision revision = 0;
   std::vector<process::RosterEntry> instances;
   std::set<ServerId> leavingServers;
+  /// Admin addresses of the instances that publish one.
+  std::map<InstanceId, std::string> adminAddresses;
 };
 
 /// Parses the answer of `GET /v1/instances`; nullopt when a field is missing or
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -148,6 +148,7 @@
   TimePoint nextRosterPull{};
   std::string listText;
   std::set<ServerId> leavingServers;
+  std::map<InstanceId, std::string> adminAddresses;
   std::uint64_t publishedEpoch = ~0ULL;
   std::uint64_t leaseGeneration = ~0ULL;
   std::vector<SliceId> ownedSlices;
@@ -657,6 +658,7 @@
     }
   }
   leavingServers = list->leavingServers;
+  adminAddresses = list->adminAddresses;
   listText = aText;
   membership.SetRoster(list->revision, std::move(list->instances), now);
   voter.SetRoster(membership.Revision(), membership.Roster(), now);
@@ -759,6 +761,7 @@
                                          impl->membership.Self(),
                                          impl->holder.Owned(),
                                          impl->membership.Members(),
+                                         impl->adminAddresses,
                                          impl->ledger.Total()));
                     });
 }
--- a/src/daemon/control_report.cpp
+++ b/src/daemon/control_report.cpp
@@ -27,7 +27,8 @@
   return array;
 }
 
-json::value MemberJson(const process::Member& aMember)
+json::value MemberJson(const process::Member& aMember,
+                       const std::string& aAdmin)
 {
   return { { "id", aMember.id },
            { "status",
@@ -35,6 +36,7 @@
                                       : NameOf(aMember.status) },
            { "incarnation", aMember.incarnation },
            { "http", aMember.httpAddress },
+           { "admin", aAdmin },
            { "failure_domain", aMember.failureDomain },
            { "config_version", aMember.configVersion },
            { "roster_revision", aMember.rosterRevision },
@@ -54,11 +56,14 @@
                        const process::Member& aSelf,
                        const std::vector<SliceId>& aOwned,
                        const std::vector<process::Member>& aMembers,
+                       const std::map<InstanceId, std::string>& aAdmin,
                        std::uint64_t aInFlight)
 {
   json::array members;
   for (const auto& it : aMembers) {
-    members.push_back(MemberJson(it));
+    const auto admin = aAdmin.find(it.id);
+    members.push_back(
+      MemberJson(it, admin == aAdmin.end() ? std::string{} : admin->second));
   }
   const json::value body{
     { "instance", aSelf.id },
--- a/src/daemon/control_report.hpp
+++ b/src/daemon/control_report.hpp
@@ -5,6 +5,7 @@
 #include "bronzedeal/process/withdrawal_report.hpp"
 #include "bronzedeal/version/work_ledger.hpp"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,7 @@
   const process::Member& aSelf,
   const std::vector<SliceId>& aOwned,
   const std::vector<process::Member>& aMembers,
+  const std::map<InstanceId, std::string>& aAdmin,
   std::uint64_t aInFlight);
 
 /// Body of `GET /v1/withdrawal`; the counts are those of this instance.
--- a/src/daemon/instance_list.cpp
+++ b/src/daemon/instance_list.cpp
@@ -29,6 +29,10 @@
   list.revision = object.at("revision").to_number<RosterRevision>();
   for (const auto& it : object.at("instances").as_array()) {
     list.instances.push_back(ParseInstance(it));
+    if (const auto* admin = it.as_object().if_contains("admin")) {
+      list.adminAddresses.emplace(list.instances.back().id,
+                                  json::value_to<std::string>(*admin));
+    }
   }
   const auto* servers = object.if_contains("servers");
   if (servers != nullptr) {
