Test cached plans in concurrent use

Cause: the plan cache is read and extended by several threads without a lock, and no test did that. Change: the threads of the SnapshotHolder test also ask for two plans.

--- a/tests/version/snapshot_test.cpp
+++ b/tests/version/snapshot_test.cpp
@@ -236,7 +236,8 @@
   EXPECT_EQ(parsed("{"), 100U);
 }
 
-// Guards against a reader that sees a lower version after a higher one.
+// Guards against a reader that sees a lower version after a higher one, and
+// against cached plans that are confused in concurrent use.
 TEST(SnapshotHolder, VersionsOnlyRise)
 {
   SnapshotHolder holder;
@@ -248,7 +249,7 @@
     document.version = it;
     snapshots.push_back(MakeSnapshot(std::move(document)));
   }
-  std::atomic<bool> fell{ false };
+  std::atomic<bool> failed{ false };
   std::vector<std::thread> threads;
   threads.reserve(3);
   for (std::size_t start = 0; start < 3; ++start) {
@@ -258,7 +259,12 @@
         holder.Store(snapshots[it]);
         const auto seen = holder.Load()->Version();
         if (seen < last || seen < snapshots[it]->Version()) {
-          fell = true;
+          failed = true;
+        }
+        for (const auto& request : { kSearch, Labels{} }) {
+          const auto plan = snapshots.back()->SharedPlan(kBuyer, request);
+          failed = failed || plan->configVersion != 200U ||
+                   plan->shards.empty() != request.empty();
         }
         last = seen;
       }
@@ -267,7 +273,7 @@
   for (auto& it : threads) {
     it.join();
   }
-  EXPECT_FALSE(fell);
+  EXPECT_FALSE(failed);
   EXPECT_EQ(holder.Load()->Version(), 200U);
   EXPECT_FALSE(holder.Store(snapshots.back())) << "the same version";
 }
