Hold reassigned servers until no instance acts under the former assignment

Cause: a document that changes slices_per_domain, or gives a server's address to a server of another failure domain, moved the server to another slice at once; the former owner, still acting under the former version, could send to it at the same time, and the cold allowance was counted twice. Change: such servers get no work from an instance until its withdrawal report says that the new version is complete.

--- a/include/bronzedeal/daemon/lease_table.hpp
+++ b/include/bronzedeal/daemon/lease_table.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -31,12 +32,23 @@
     return it != limits->end() && aNow < it->second;
   }
 
-  [[nodiscard]] std::shared_ptr<const Limits> Load() const noexcept
+  /// Servers that get no work until no instance can act under the version that
+  /// assigned them to another slice.
+  void Hold(std::set<ServerId> aServers)
   {
-    return mLimits.load();
+    mHeld.store(
+      std::make_shared<const std::set<ServerId>>(std::move(aServers)));
+  }
+
+  [[nodiscard]] bool Held(const ServerId& aServer) const noexcept
+  {
+    return mHeld.load()->contains(aServer);
   }
 
 private:
+  std::atomic<std::shared_ptr<const std::set<ServerId>>> mHeld{
+    std::make_shared<const std::set<ServerId>>()
+  };
   std::atomic<std::shared_ptr<const Limits>> mLimits{
     std::make_shared<const Limits>()
   };
--- a/include/bronzedeal/version/changes.hpp
+++ b/include/bronzedeal/version/changes.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "bronzedeal/version/document.hpp"
+#include "bronzedeal/version/snapshot.hpp"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,4 +14,9 @@
 [[nodiscard]] std::vector<std::string> DescribeChanges(const Document& aFrom,
                                                        const Document& aTo);
 
+/// Servers of `aTo` that another owner may use under `aFrom`: their slice
+/// changed, or their address belonged to another server.
+[[nodiscard]] std::set<ServerId> ReassignedServers(const Snapshot& aFrom,
+                                                   const Snapshot& aTo);
+
 } // namespace bronzedeal::version
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -154,6 +154,7 @@
   std::vector<SliceId> ownedSlices;
   std::map<FailureDomain, std::string> regions;
   ConfigVersion completedVersion = 0;
+  std::set<ServerId> held;
   std::deque<Outgoing> local;
   std::atomic<bool> released{ false };
 };
@@ -380,6 +381,10 @@
   if (completedVersion < snapshot->Version() &&
       withdrawal.Evaluate(snapshot->Version(), aNow).complete) {
     completedVersion = snapshot->Version();
+    if (!held.empty()) {
+      held.clear();
+      leases.Hold(held);
+    }
     Note({ AuditKind::WithdrawalCompleted,
            completedVersion,
            "no instance runs or can start work under an earlier version" });
@@ -514,6 +519,11 @@
   }
   const auto former = snapshots.Load();
   const auto snapshot = version::MakeSnapshot(std::move(*document));
+  if (former && snapshot->Version() > former->Version()) {
+    // Held before the snapshot is in force, so that no send slips in between.
+    held.merge(version::ReassignedServers(*former, *snapshot));
+    leases.Hold(held);
+  }
   if (!snapshots.Store(snapshot)) {
     return;
   }
--- a/src/daemon/server_agent.cpp
+++ b/src/daemon/server_agent.cpp
@@ -157,7 +157,8 @@
 ResultCode ServerAgent::Check(const Attempt& aAttempt, TimePoint aNow) const
 {
   const auto& context = *aAttempt.request.context;
-  if (!mEnvironment.leases.MaySend(mServer.slice, aNow)) {
+  if (!mEnvironment.leases.MaySend(mServer.slice, aNow) ||
+      mEnvironment.leases.Held(mServer.id)) {
     return ResultCode::NotRunNoOwner;
   }
   if (aNow >= context.deadline) {
--- a/src/version/changes.cpp
+++ b/src/version/changes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <set>
 
 namespace bronzedeal::version {
@@ -229,4 +230,20 @@
   return std::move(changes.result);
 }
 
+std::set<ServerId> ReassignedServers(const Snapshot& aFrom, const Snapshot& aTo)
+{
+  std::map<std::string_view, const ServerInfo*> byAddress;
+  for (const auto& it : aFrom.Servers()) {
+    byAddress.emplace(it.address, &it);
+  }
+  std::set<ServerId> reassigned;
+  for (const auto& it : aTo.Servers()) {
+    const auto former = byAddress.find(it.address);
+    if (former != byAddress.end() && former->second->slice != it.slice) {
+      reassigned.insert(it.id);
+    }
+  }
+  return reassigned;
+}
+
 } // namespace bronzedeal::version
--- a/tests/version/snapshot_test.cpp
+++ b/tests/version/snapshot_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "bronzedeal/version/changes.hpp"
 #include "bronzedeal/version/explain.hpp"
 #include "bronzedeal/version/snapshot.hpp"
 #include "generators.hpp"
@@ -120,6 +121,35 @@
   }));
 }
 
+// Guards against two owners of one server while instances still act under the
+// version in which it belonged to another slice.
+TEST(Snapshot, ServersThatChangeTheirSliceAreReassigned)
+{
+  const auto former = MakeSnapshot(Example());
+  EXPECT_TRUE(ReassignedServers(*former, *former).empty());
+
+  auto document = Example();
+  document.slicesPerDomain += 1;
+  const auto resliced = MakeSnapshot(document);
+  std::set<ServerId> expected;
+  for (const auto& it : resliced->Servers()) {
+    if (former->FindServer(it.id)->slice != it.slice) {
+      expected.insert(it.id);
+    }
+  }
+  EXPECT_EQ(ReassignedServers(*former, *resliced), expected);
+
+  // The same process under another id and in another failure domain.
+  document = Example();
+  auto& [service, spec] = *document.services.begin();
+  auto server = spec.servers.extract(spec.servers.begin());
+  server.key() = "renamed";
+  server.mapped().failureDomain = "fd-c";
+  spec.servers.insert(std::move(server));
+  const auto renamed = ReassignedServers(*former, *MakeSnapshot(document));
+  EXPECT_TRUE(renamed.contains("renamed"));
+}
+
 // Guards against withdrawn shards that vanish from the coverage instead of
 // being counted as missing.
 TEST(Snapshot, WithdrawalNeverShrinksTheScope)
