Spread versions as a bit map over the published list

Cause: at 820 members one configuration change took 40 KB/s of each member for more than 6 s, because 820 records changed. Change: versions in force and settled versions only rise within an incarnation, so they are merged by maximum and travel as 28 bytes for 64 members, guarded by a digest of the incarnations. Digests of full records find missed updates. The record carries settled_version in place of the oldest active version.

--- a/include/bronzedeal/process/membership.hpp
+++ b/include/bronzedeal/process/membership.hpp
@@ -29,15 +29,16 @@
   std::size_t pushFanout = 2;
   Duration pushInterval = milliseconds(100);
   std::size_t piggybackBytes = 1200;
-  /// Each update is sent this many times by each member that learns it. Push
-  /// gossip with k sends misses a member with probability e^-k, and the
-  /// refreshed records of pings reach those.
+  /// Each full record is sent this many times by each member that learns it.
+  /// Push gossip with k sends misses a member with probability e^-k; a sync
+  /// repairs that.
   unsigned retransmits = 6;
-  /// Bytes of each ping and acknowledgement that refresh records in turn.
-  std::size_t refreshBytes = 160;
-  /// An unknown record that progress entries refer to is asked for after this
-  /// time, when gossip has not brought it.
-  Duration syncDelay = milliseconds(500);
+  /// Pushes carry the map of versions for this long after its last change.
+  Duration mapSpread = milliseconds(600);
+  /// Otherwise one in this many pings and acknowledgements carries it.
+  unsigned mapInterval = 8;
+  /// A difference of full records that lasts this long is repaired.
+  Duration syncDelay = milliseconds(1000);
   std::uint64_t seed = 1;
 };
 
@@ -73,6 +74,9 @@
   bool fenced = false;
   bool leaving = false;
   std::vector<SliceId> slices;
+  /// Oldest version with unfinished work, 0 for none. Work counts under the
+  /// version that was in force when it began, so that this never falls below
+  /// what was announced before.
   ConfigVersion oldestActiveVersion = 0;
 };
 
@@ -126,7 +130,7 @@
                   Incarnation aIncarnation,
                   TimePoint aNow);
 
-  /// Changes the own record; a new sequence is used only when a value differs.
+  /// Changes the own record. Versions that are lower than before are ignored.
   void UpdateSelf(const SelfState& aState);
 
   [[nodiscard]] const Member& Self() const noexcept;
--- a/include/bronzedeal/process/messages.hpp
+++ b/include/bronzedeal/process/messages.hpp
@@ -37,8 +37,9 @@
   std::string region;
   /// 0 for a roster entry that nothing has been heard about.
   Incarnation incarnation = 0;
-  /// Orders the records of one incarnation. The lower 8 bits count changes
-  /// that a `ProgressGroup` can carry, the bits above them all other changes.
+  /// Orders the records of one incarnation. The versions only rise and are
+  /// merged by their maximum; a change of them alone does not raise it. 0 when
+  /// no record has been received.
   std::uint64_t sequence = 0;
   MemberStatus status = MemberStatus::Alive;
   ConfigVersion configVersion = 0;
@@ -46,33 +47,41 @@
   RosterRevision rosterRevision = 0;
   bool fenced = false;
   std::vector<SliceId> slices;
-  /// Oldest version below `configVersion` with unfinished work; 0 for none.
-  ConfigVersion oldestActiveVersion = 0;
+  /// No work under a version below this one is unfinished.
+  ConfigVersion settledVersion = 0;
 
   bool operator==(const Member&) const = default;
 };
 
-/// Several members whose records differ from the last full record only in
-/// these values. A configuration change alters every record, and this form
-/// needs about 11 bytes for each instead of about 70.
-struct ProgressGroup
+/// 64 members of the published list, in the order of their ids.
+struct ProgressBlock
+{
+  /// Digest of the members' incarnations.
+  std::uint64_t incarnations = 0;
+  /// Digest of the members' full records.
+  std::uint32_t records = 0;
+  /// Bit n: the n-th member has the version of the map in force.
+  std::uint64_t inForce = 0;
+  /// Bit n: it also has no unfinished work under a lower version.
+  std::uint64_t settled = 0;
+
+  bool operator==(const ProgressBlock&) const = default;
+};
+
+/// Which members have the highest version that the sender knows. A change of
+/// the configuration alters every record, and this form needs 28 bytes for 64
+/// members instead of about 70 for each.
+struct ProgressMap
 {
   ConfigVersion configVersion = 0;
   ConfigHash configHash{};
   RosterRevision rosterRevision = 0;
-  ConfigVersion oldestActiveVersion = 0;
-  /// `MemberKey` of each member, parallel to `sequences`.
-  std::vector<std::uint64_t> members;
-  std::vector<std::uint64_t> sequences;
+  /// Empty when the message carries no map.
+  std::vector<ProgressBlock> blocks;
 
-  bool operator==(const ProgressGroup&) const = default;
+  bool operator==(const ProgressMap&) const = default;
 };
 
-/// Identifies one incarnation of an instance: xxhash64 of the id, seeded with
-/// the incarnation.
-[[nodiscard]] std::uint64_t MemberKey(const InstanceId& aId,
-                                      Incarnation aIncarnation) noexcept;
-
 enum class GossipKind : std::uint8_t
 {
   Ping = 0,
@@ -80,8 +89,8 @@
   PingRequest = 2,
   /// Records only; no answer is expected.
   Push = 3,
-  /// Asks for the full records named in `progress`, or for all when there are
-  /// none; answered with pushes.
+  /// Asks for the full records of the blocks in `wanted`, or for all when there
+  /// are none; answered with pushes.
   Sync = 4,
 };
 
@@ -94,7 +103,8 @@
   /// Full records; that of the sender comes first in pings and
   /// acknowledgements.
   std::vector<Member> records;
-  std::vector<ProgressGroup> progress;
+  ProgressMap progress;
+  std::vector<std::uint32_t> wanted;
 };
 
 /// Asks for the lease on a slice, or for its renewal.
@@ -176,8 +186,8 @@
 /// Upper bound of the encoded size of a record in a gossip message, in bytes.
 [[nodiscard]] std::size_t EncodedSize(const Member& aMember) noexcept;
 
-/// Upper bound of the encoded size of a group, in bytes.
-[[nodiscard]] std::size_t EncodedSize(const ProgressGroup& aGroup) noexcept;
+/// Upper bound of the encoded size of a map, in bytes.
+[[nodiscard]] std::size_t EncodedSize(const ProgressMap& aMap) noexcept;
 
 /// Upper bound of the encoded size of an envelope with this body, in bytes.
 [[nodiscard]] std::size_t EncodedSize(const Message& aMessage) noexcept;
--- a/src/process/config_distributor.cpp
+++ b/src/process/config_distributor.cpp
@@ -340,7 +340,7 @@
                                      ConfigOptions aOptions)
   : mImpl(std::make_unique<Impl>())
 {
-  mImpl->random.seed(aOptions.seed ^ MemberKey(aSelf, 2));
+  mImpl->random.seed(aOptions.seed ^ XXH64(aSelf.data(), aSelf.size(), 2));
   mImpl->self = std::move(aSelf);
   mImpl->functions = std::move(aFunctions);
   mImpl->options = aOptions;
--- a/src/process/lease_holder.cpp
+++ b/src/process/lease_holder.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <xxhash.h>
 
 namespace bronzedeal::process {
 namespace {
@@ -453,7 +454,7 @@
 LeaseHolder::LeaseHolder(InstanceId aSelf, LeaseOptions aOptions)
   : mImpl(std::make_unique<Impl>())
 {
-  mImpl->random.seed(MemberKey(aSelf, 1));
+  mImpl->random.seed(XXH64(aSelf.data(), aSelf.size(), 1));
   mImpl->self = std::move(aSelf);
   mImpl->options = aOptions;
 }
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -8,23 +8,21 @@
 #include <tuple>
 #include <unordered_map>
 #include <utility>
+#include <xxhash.h>
 
 namespace bronzedeal::process {
 namespace {
 
-constexpr std::uint64_t kFullStep = 256;
+constexpr std::size_t kBlock = 64;
 // Below this size every member is probed within the contact window, and the
 // count of contacts is exact.
 constexpr std::size_t kExactRoster = 12;
 constexpr std::size_t kSampleForMajority = 15;
-// Bytes of a ProgressGroup apart from its entries, and of one entry.
-constexpr std::size_t kGroupBytes = 44;
-constexpr std::size_t kEntryBytes = 13;
 constexpr std::size_t kMaxNotes = 256;
 
-std::uint64_t FullPart(std::uint64_t aSequence) noexcept
+std::uint64_t Hash(const InstanceId& aId, std::uint64_t aSeed) noexcept
 {
-  return aSequence / kFullStep;
+  return XXH64(aId.data(), aId.size(), aSeed);
 }
 
 constexpr std::string_view NameOf(MemberStatus aStatus) noexcept
@@ -66,10 +64,8 @@
   std::optional<TimePoint> tried;
   std::optional<TimePoint> triedBefore;
   TimePoint suspectSince{};
-  /// Transmissions left for the full record and for the progress entry.
+  /// Transmissions left for the full record.
   unsigned fullLeft = 0;
-  unsigned progressLeft = 0;
-  std::uint64_t key = 0;
 };
 
 struct Probe
@@ -82,14 +78,6 @@
   std::uint64_t originProbe = 0;
 };
 
-auto GroupOf(const Member& aMember)
-{
-  return std::tie(aMember.configVersion,
-                  aMember.configHash,
-                  aMember.rosterRevision,
-                  aMember.oldestActiveVersion);
-}
-
 } // namespace
 
 bool ReachesHalf(const Contact& aContact) noexcept
@@ -126,12 +114,17 @@
   std::vector<RosterEntry> roster;
   std::vector<Entry> entries;
   std::unordered_map<InstanceId, std::size_t> index;
-  std::unordered_map<std::uint64_t, std::size_t> keys;
-  std::unordered_map<std::uint64_t, TimePoint> missing;
+  /// The entries of the list in the order of their ids, 64 for each block.
+  std::vector<std::size_t> listed;
+  /// Digests and bits of `listed`, as of `mappedEpoch`.
+  ProgressMap map;
+  std::uint64_t mappedEpoch = 0;
+  std::optional<TimePoint> mapChanged;
+  std::uint64_t composed = 0;
+  /// Since when the full records of a block differ from those of others.
+  std::vector<std::optional<TimePoint>> differsSince;
   std::map<std::uint64_t, Probe> probes;
   std::vector<std::size_t> rotation;
-  std::size_t refreshProgress = 0;
-  std::size_t refreshFull = 0;
   std::uint64_t lastProbe = 0;
   std::optional<TimePoint> lastTick;
   std::optional<TimePoint> nextProbe;
@@ -148,6 +141,8 @@
   /// Bytes of the message that is being composed.
   std::size_t used = 0;
 
+  TimePoint LastTime() const { return lastTick.value_or(TimePoint{}); }
+
   Entry& Own() { return entries[index.at(self.id)]; }
   const Entry& Own() const { return entries[index.at(self.id)]; }
 
@@ -172,61 +167,49 @@
         return aL.record.id < aR.record.id;
       });
     index.clear();
-    keys.clear();
+    listed.clear();
     for (std::size_t i = 0; i < entries.size(); ++i) {
       index[entries[i].record.id] = i;
-      Rekey(i);
+      if (entries[i].listed) {
+        listed.push_back(i);
+      }
     }
+    differsSince.assign((listed.size() + kBlock - 1) / kBlock, {});
     rotation.clear();
-  }
-
-  void Rekey(std::size_t aIndex)
-  {
-    auto& it = entries[aIndex];
-    if (const auto old = keys.find(it.key);
-        old != keys.end() && old->second == aIndex) {
-      keys.erase(old);
-    }
-    if (it.record.incarnation != 0) {
-      it.key = MemberKey(it.record.id, it.record.incarnation);
-      keys[it.key] = aIndex;
-    }
+    ++epoch;
   }
 
   void SpreadFull(Entry& aEntry)
   {
     aEntry.fullLeft = options.retransmits;
-    aEntry.progressLeft = 0;
-    ++epoch;
-  }
-
-  void SpreadProgress(Entry& aEntry)
-  {
-    // A pending full record carries the same values.
-    if (aEntry.fullLeft < options.retransmits) {
-      aEntry.progressLeft = options.retransmits;
-    }
     ++epoch;
   }
 
   void ChangeOwnRecord()
   {
     auto& own = Own();
-    own.record.sequence = (FullPart(own.record.sequence) + 1) * kFullStep;
+    ++own.record.sequence;
     SpreadFull(own);
     ++candidateEpoch;
   }
 
-  // For changes that a ProgressGroup can carry.
-  void ChangeOwnProgress()
+  // The versions of one incarnation only rise, so the higher ones are kept.
+  void MergeVersions(Entry& aEntry,
+                     ConfigVersion aVersion,
+                     const ConfigHash& aHash,
+                     ConfigVersion aSettled,
+                     TimePoint aNow)
   {
-    auto& own = Own();
-    if ((own.record.sequence + 1) % kFullStep == 0) {
-      ChangeOwnRecord();
-    } else {
-      ++own.record.sequence;
-      SpreadProgress(own);
+    auto& record = aEntry.record;
+    if (aVersion > record.configVersion) {
+      record.configVersion = aVersion;
+      record.configHash = aHash;
+    } else if (aSettled <= record.settledVersion) {
+      return;
     }
+    record.settledVersion = std::max(record.settledVersion, aSettled);
+    mapChanged = aNow;
+    ++epoch;
   }
 
   void SetStatus(Entry& aEntry, MemberStatus aStatus, TimePoint aNow)
@@ -266,12 +249,10 @@
     record.rosterRevision = 0;
     record.fenced = false;
     record.slices.clear();
-    record.oldestActiveVersion = 0;
+    record.settledVersion = 0;
     aEntry.left = false;
     aEntry.fullLeft = 0;
-    aEntry.progressLeft = 0;
     aEntry.reported.reset();
-    Rekey(static_cast<std::size_t>(&aEntry - entries.data()));
     ++epoch;
     ++candidateEpoch;
   }
@@ -330,6 +311,13 @@
       Replace(*entry, aRecord.incarnation);
     }
     auto& record = entry->record;
+    MergeVersions(*entry,
+                  aRecord.configVersion,
+                  aRecord.configHash,
+                  aRecord.settledVersion,
+                  aNow);
+    record.rosterRevision =
+      std::max(record.rosterRevision, aRecord.rosterRevision);
     const bool newer = aRecord.sequence > record.sequence ||
                        (aRecord.sequence == record.sequence &&
                         Gravity(aRecord.status) > Gravity(record.status));
@@ -340,49 +328,89 @@
       ++candidateEpoch;
     }
     record.sequence = aRecord.sequence;
-    record.configVersion = aRecord.configVersion;
-    record.configHash = aRecord.configHash;
-    record.rosterRevision = aRecord.rosterRevision;
     record.fenced = aRecord.fenced;
     record.slices = aRecord.slices;
-    record.oldestActiveVersion = aRecord.oldestActiveVersion;
     SetStatus(*entry, aRecord.status, aNow);
     SpreadFull(*entry);
-    missing.erase(entry->key);
   }
 
-  void MergeProgress(const ProgressGroup& aGroup, TimePoint aNow)
+  Entry& Listed(std::size_t aBlock, std::size_t aBit)
   {
-    const auto n = std::min(aGroup.members.size(), aGroup.sequences.size());
-    for (std::size_t i = 0; i < n; ++i) {
-      const auto found = keys.find(aGroup.members[i]);
-      if (found == keys.end()) {
-        if (missing.size() < 2 * entries.size()) {
-          missing.try_emplace(aGroup.members[i], aNow);
-        }
-        continue;
+    return entries[listed[aBlock * kBlock + aBit]];
+  }
+
+  std::size_t BlockSize(std::size_t aBlock) const
+  {
+    return std::min(kBlock, listed.size() - aBlock * kBlock);
+  }
+
+  // Brings `map` in line with the records.
+  const ProgressMap& CurrentMap()
+  {
+    if (mappedEpoch == epoch) {
+      return map;
+    }
+    mappedEpoch = epoch;
+    map.rosterRevision = revision;
+    for (const auto i : listed) {
+      const auto& record = entries[i].record;
+      if (record.configVersion > map.configVersion) {
+        map.configVersion = record.configVersion;
+        map.configHash = record.configHash;
       }
-      auto& entry = entries[found->second];
-      const auto sequence = aGroup.sequences[i];
-      if (sequence <= entry.record.sequence || entry.record.id == self.id) {
-        continue;
+    }
+    map.blocks.assign(differsSince.size(), {});
+    for (std::size_t b = 0; b < map.blocks.size(); ++b) {
+      auto& block = map.blocks[b];
+      for (std::size_t n = 0; n < BlockSize(b); ++n) {
+        const auto& record = Listed(b, n).record;
+        const auto bit = std::uint64_t{ 1 } << n;
+        const auto state = record.sequence * 4 +
+                           static_cast<std::uint64_t>(Gravity(record.status));
+        block.incarnations ^= Hash(record.id, record.incarnation);
+        block.records ^= static_cast<std::uint32_t>(
+          Hash(record.id, record.incarnation ^ (state << 32)));
+        const bool inForce = record.configVersion == map.configVersion &&
+                             record.configHash == map.configHash;
+        block.inForce |= inForce ? bit : 0;
+        block.settled |=
+          inForce && record.settledVersion >= map.configVersion ? bit : 0;
+      }
+    }
+    return map;
+  }
+
+  void MergeMap(const ProgressMap& aMap, TimePoint aNow)
+  {
+    if (aMap.rosterRevision != revision ||
+        aMap.blocks.size() != differsSince.size()) {
+      return;
+    }
+    // A copy, since merging changes what `CurrentMap` returns.
+    const auto own = CurrentMap().blocks;
+    for (std::size_t b = 0; b < own.size(); ++b) {
+      const auto& block = aMap.blocks[b];
+      if (block.records == own[b].records) {
+        differsSince[b].reset();
+      } else if (!differsSince[b]) {
+        differsSince[b] = aNow;
       }
-      if (FullPart(sequence) != FullPart(entry.record.sequence)) {
-        missing.try_emplace(entry.key, aNow);
+      // The bits belong to the sender's incarnations of the members.
+      if (block.incarnations != own[b].incarnations) {
         continue;
       }
-      entry.record.sequence = sequence;
-      entry.record.configVersion = aGroup.configVersion;
-      entry.record.configHash = aGroup.configHash;
-      entry.record.rosterRevision = aGroup.rosterRevision;
-      entry.record.oldestActiveVersion = aGroup.oldestActiveVersion;
-      // The member has made this change after whatever it was suspected for.
-      if (Gravity(entry.record.status) > 0) {
-        SetStatus(entry,
-                  entry.left ? MemberStatus::Leaving : MemberStatus::Alive,
-                  aNow);
+      for (std::size_t n = 0; n < BlockSize(b); ++n) {
+        const auto bit = std::uint64_t{ 1 } << n;
+        auto& entry = Listed(b, n);
+        if ((block.inForce & bit) == 0 || entry.record.id == self.id) {
+          continue;
+        }
+        MergeVersions(entry,
+                      aMap.configVersion,
+                      aMap.configHash,
+                      (block.settled & bit) != 0 ? aMap.configVersion : 0,
+                      aNow);
       }
-      SpreadProgress(entry);
     }
   }
 
@@ -396,49 +424,6 @@
     return record;
   }
 
-  // Adds progress entries of the given members, in as many groups as needed.
-  template<typename Range>
-  std::size_t AddProgress(GossipMessage& aMessage,
-                          const Range& aIndices,
-                          std::size_t aBudget)
-  {
-    std::size_t spent = 0;
-    std::size_t added = 0;
-    for (const auto i : aIndices) {
-      auto& entry = entries[i];
-      auto group = std::find_if(
-        aMessage.progress.begin(), aMessage.progress.end(), [&](auto& aGroup) {
-          return std::tie(aGroup.configVersion,
-                          aGroup.configHash,
-                          aGroup.rosterRevision,
-                          aGroup.oldestActiveVersion) == GroupOf(entry.record);
-        });
-      const auto cost =
-        kEntryBytes + (group == aMessage.progress.end() ? kGroupBytes : 0);
-      if (spent + cost > aBudget) {
-        break;
-      }
-      spent += cost;
-      ++added;
-      if (group == aMessage.progress.end()) {
-        aMessage.progress.push_back({ entry.record.configVersion,
-                                      entry.record.configHash,
-                                      entry.record.rosterRevision,
-                                      entry.record.oldestActiveVersion,
-                                      {},
-                                      {} });
-        group = std::prev(aMessage.progress.end());
-      }
-      group->members.push_back(entry.key);
-      group->sequences.push_back(entry.record.sequence);
-      if (entry.progressLeft > 0) {
-        --entry.progressLeft;
-      }
-    }
-    used += spent;
-    return added;
-  }
-
   bool AddFull(GossipMessage& aMessage, Entry& aEntry)
   {
     if (aEntry.record.sequence == 0) {
@@ -457,76 +442,64 @@
     return true;
   }
 
-  std::size_t Left() const
-  {
-    return options.piggybackBytes > used ? options.piggybackBytes - used : 0;
-  }
-
-  // Indices with transmissions left, those with most left first.
-  std::vector<std::size_t> Pending(unsigned Entry::*aLeft, std::size_t aCount)
+  // Adds full records with transmissions left, those with most left first.
+  void AddPending(GossipMessage& aMessage)
   {
     std::vector<std::size_t> pending;
     for (std::size_t i = 0; i < entries.size(); ++i) {
-      if (entries[i].*aLeft > 0) {
+      if (entries[i].fullLeft > 0) {
         pending.push_back(i);
       }
     }
-    // Starting at a random place spreads equal entries over the targets.
-    if (!pending.empty()) {
-      std::rotate(pending.begin(),
-                  pending.begin() +
-                    static_cast<std::ptrdiff_t>(random() % pending.size()),
-                  pending.end());
+    if (pending.empty()) {
+      return;
     }
-    const auto n = std::min(aCount, pending.size());
+    // Starting at a random place spreads equal entries over the targets.
+    std::rotate(pending.begin(),
+                pending.begin() +
+                  static_cast<std::ptrdiff_t>(random() % pending.size()),
+                pending.end());
+    const auto n = std::min(options.piggybackBytes / 40, pending.size());
     std::partial_sort(pending.begin(),
                       pending.begin() + static_cast<std::ptrdiff_t>(n),
                       pending.end(),
                       [&](std::size_t aL, std::size_t aR) {
-                        return entries[aL].*aLeft > entries[aR].*aLeft;
+                        return entries[aL].fullLeft > entries[aR].fullLeft;
                       });
     pending.resize(n);
-    return pending;
-  }
-
-  void AddPending(GossipMessage& aMessage)
-  {
-    for (const auto i :
-         Pending(&Entry::fullLeft, options.piggybackBytes / 40)) {
-      if (&entries[i] != &Own() || aMessage.records.empty()) {
-        if (!AddFull(aMessage, entries[i])) {
-          break;
-        }
+    for (const auto i : pending) {
+      const bool present = entries[i].record.id == self.id &&
+                           !aMessage.records.empty() &&
+                           aMessage.records[0].id == self.id;
+      if (!present && !AddFull(aMessage, entries[i])) {
+        break;
       }
     }
-    AddProgress(
-      aMessage, Pending(&Entry::progressLeft, Left() / kEntryBytes), Left());
   }
 
-  // Repeats records in turn, for members that missed every transmission.
-  void AddRefresh(GossipMessage& aMessage)
+  void AddMap(GossipMessage& aMessage, TimePoint aNow)
   {
-    const auto budget = std::min(options.refreshBytes, Left());
-    std::vector<std::size_t> turn;
-    const auto wanted = std::min(budget / kEntryBytes, entries.size());
-    for (std::size_t n = 0; n < entries.size() && turn.size() < wanted; ++n) {
-      const auto i = (refreshProgress + n) % entries.size();
-      if (FullPart(entries[i].record.sequence) != 0) {
-        turn.push_back(i);
-      }
+    const bool fresh = mapChanged && aNow - *mapChanged <= options.mapSpread;
+    const bool due = aMessage.kind != GossipKind::Push &&
+                     ++composed % std::max(options.mapInterval, 1U) == 0;
+    if (!fresh && !due) {
+      return;
     }
-    const auto added = AddProgress(aMessage, turn, budget);
-    if (added > 0) {
-      refreshProgress = (turn[added - 1] + 1) % entries.size();
+    const auto& current = CurrentMap();
+    const auto cost = EncodedSize(current);
+    if (used + cost <= options.piggybackBytes) {
+      aMessage.progress = current;
+      used += cost;
     }
   }
 
   GossipMessage Compose(GossipKind aKind,
                         std::uint64_t aProbe,
                         const InstanceId& aTarget,
-                        const Entry* aReceiver)
+                        const Entry* aReceiver,
+                        TimePoint aNow)
   {
-    GossipMessage message{ aKind, aProbe, aTarget, {}, {} };
+    GossipMessage message{ aKind, aProbe, aTarget, {}, {}, {} };
     used = 0;
     if (aKind != GossipKind::Push) {
       AddFull(message, Own());
@@ -536,10 +509,8 @@
         used += EncodedSize(message.records.back());
       }
     }
+    AddMap(message, aNow);
     AddPending(message);
-    if (aKind == GossipKind::Ping || aKind == GossipKind::Ack) {
-      AddRefresh(message);
-    }
     return message;
   }
 
@@ -551,8 +522,10 @@
     const auto id = ++lastProbe;
     const auto& target = entry.record.id;
     aProbe.target = target;
+    const auto now = aProbe.start;
     probes[id] = std::move(aProbe);
-    aOut.push_back({ target, Compose(GossipKind::Ping, id, target, &entry) });
+    aOut.push_back(
+      { target, Compose(GossipKind::Ping, id, target, &entry, now) });
   }
 
   std::optional<std::size_t> NextInRotation()
@@ -619,10 +592,12 @@
           age >= options.directTimeout) {
         probe.indirect = true;
         for (const auto i : Choose(options.indirectProbes, probe.target)) {
-          aOut.push_back(
-            { entries[i].record.id,
-              Compose(
-                GossipKind::PingRequest, it->first, probe.target, nullptr) });
+          aOut.push_back({ entries[i].record.id,
+                           Compose(GossipKind::PingRequest,
+                                   it->first,
+                                   probe.target,
+                                   nullptr,
+                                   aNow) });
         }
       }
       ++it;
@@ -653,72 +628,58 @@
     }
     nextPush = aNow + options.pushInterval;
     for (const auto i : Choose(options.pushFanout, self.id)) {
-      auto message = Compose(GossipKind::Push, 0, {}, nullptr);
-      if (message.records.empty() && message.progress.empty()) {
+      auto message = Compose(GossipKind::Push, 0, {}, nullptr, aNow);
+      if (message.records.empty() && message.progress.blocks.empty()) {
         return;
       }
       aOut.push_back({ entries[i].record.id, std::move(message) });
     }
   }
 
-  // A new instance asks one peer for all records; later only those are asked
-  // for that progress entries refer to and gossip has not brought.
+  // A new instance asks one peer for all records; later only blocks are asked
+  // for that have differed from those of others for a while.
   void TickSync(TimePoint aNow, std::vector<Outgoing>& aOut)
   {
     if (nextSync && aNow < *nextSync) {
       return;
     }
-    std::vector<std::size_t> known;
-    for (const auto i : Choose(1, self.id)) {
-      if (entries[i].record.sequence != 0) {
-        known.push_back(i);
-      }
-    }
-    if (known.empty()) {
+    const auto peers = Choose(1, self.id);
+    if (peers.empty() || entries[peers[0]].record.sequence == 0) {
       return;
     }
-    GossipMessage message{ GossipKind::Sync, 0, {}, {}, {} };
+    GossipMessage message{ GossipKind::Sync, 0, {}, {}, {}, {} };
     if (!empty) {
-      ProgressGroup wanted;
-      for (auto it = missing.begin(); it != missing.end();) {
-        if (aNow - it->second >= 20 * options.syncDelay) {
-          it = missing.erase(it);
-          continue;
-        }
-        if (aNow - it->second >= options.syncDelay &&
-            wanted.members.size() < 100) {
-          wanted.members.push_back(it->first);
-          wanted.sequences.push_back(0);
-        }
-        ++it;
-      }
-      if (wanted.members.empty()) {
+      const auto due =
+        std::find_if(differsSince.begin(), differsSince.end(), [&](auto& aIt) {
+          return aIt && aNow - *aIt >= options.syncDelay;
+        });
+      if (due == differsSince.end()) {
         return;
       }
-      message.progress.push_back(std::move(wanted));
+      due->reset();
+      message.wanted.push_back(
+        static_cast<std::uint32_t>(due - differsSince.begin()));
     }
     empty = false;
     nextSync = aNow + options.syncDelay;
-    aOut.push_back({ entries[known[0]].record.id, std::move(message) });
+    aOut.push_back({ entries[peers[0]].record.id, std::move(message) });
   }
 
   void AnswerSync(const InstanceId& aFrom,
                   const GossipMessage& aMessage,
                   std::vector<Outgoing>& aOut)
   {
-    std::vector<std::size_t> wanted;
-    if (aMessage.progress.empty()) {
-      for (std::size_t i = 0; i < entries.size(); ++i) {
-        wanted.push_back(i);
-      }
-    } else {
-      for (const auto key : aMessage.progress[0].members) {
-        if (const auto it = keys.find(key); it != keys.end()) {
-          wanted.push_back(it->second);
-        }
-      }
+    std::vector<std::size_t> wanted = listed;
+    if (!aMessage.wanted.empty()) {
+      std::erase_if(wanted, [&](std::size_t aIndex) {
+        const auto place =
+          std::lower_bound(listed.begin(), listed.end(), aIndex) -
+          listed.begin();
+        return static_cast<std::size_t>(place) / kBlock !=
+               aMessage.wanted.front();
+      });
     }
-    GossipMessage push{ GossipKind::Push, 0, {}, {}, {} };
+    GossipMessage push{ GossipKind::Push, 0, {}, {}, {}, {} };
     used = 0;
     for (const auto i : wanted) {
       if (entries[i].record.sequence == 0) {
@@ -739,7 +700,9 @@
     }
   }
 
-  void OnAck(const GossipMessage& aMessage, std::vector<Outgoing>& aOut)
+  void OnAck(const GossipMessage& aMessage,
+             TimePoint aNow,
+             std::vector<Outgoing>& aOut)
   {
     const auto it = probes.find(aMessage.probe);
     if (it == probes.end() || it->second.target != aMessage.target) {
@@ -750,7 +713,8 @@
                        Compose(GossipKind::Ack,
                                it->second.originProbe,
                                aMessage.target,
-                               origin) });
+                               origin,
+                               aNow) });
     }
     probes.erase(it);
   }
@@ -763,7 +727,7 @@
 {
   mImpl->self = std::move(aSelf);
   mImpl->options = aOptions;
-  mImpl->random.seed(aOptions.seed ^ MemberKey(mImpl->self.id, aIncarnation));
+  mImpl->random.seed(aOptions.seed ^ Hash(mImpl->self.id, aIncarnation));
   Entry own;
   own.record.id = mImpl->self.id;
   own.record.httpAddress = mImpl->self.httpAddress;
@@ -771,7 +735,7 @@
   own.record.failureDomain = mImpl->self.failureDomain;
   own.record.region = mImpl->self.region;
   own.record.incarnation = aIncarnation;
-  own.record.sequence = kFullStep;
+  own.record.sequence = 1;
   mImpl->entries.push_back(std::move(own));
   mImpl->Reindex();
   mImpl->SpreadFull(mImpl->Own());
@@ -818,10 +782,8 @@
   }
   impl.entries = std::move(entries);
   impl.Reindex();
-  impl.missing.clear();
   impl.Own().record.rosterRevision = aRevision;
-  impl.ChangeOwnProgress();
-  ++impl.epoch;
+  impl.mapChanged = aNow;
   ++impl.candidateEpoch;
 }
 
@@ -865,21 +827,18 @@
       impl.Lookup(aFrom)->reported = aNow;
     }
   }
-  if (aMessage.kind != GossipKind::Sync) {
-    for (const auto& it : aMessage.progress) {
-      impl.MergeProgress(it, aNow);
-    }
-  }
+  impl.MergeMap(aMessage.progress, aNow);
   switch (aMessage.kind) {
     case GossipKind::Ping:
       aOut.push_back({ aFrom,
                        impl.Compose(GossipKind::Ack,
                                     aMessage.probe,
                                     impl.self.id,
-                                    impl.Lookup(aFrom)) });
+                                    impl.Lookup(aFrom),
+                                    aNow) });
       break;
     case GossipKind::Ack:
-      impl.OnAck(aMessage, aOut);
+      impl.OnAck(aMessage, aNow, aOut);
       break;
     case GossipKind::PingRequest:
       if (const auto it = impl.index.find(aMessage.target);
@@ -911,24 +870,20 @@
   auto& record = own.record;
   const bool leaving = aState.leaving || own.left;
   const auto status = leaving ? MemberStatus::Leaving : MemberStatus::Alive;
-  const bool progress =
-    record.configVersion != aState.configVersion ||
-    record.configHash != aState.configHash ||
-    record.oldestActiveVersion != aState.oldestActiveVersion;
   const bool full = record.status != status || record.fenced != aState.fenced ||
                     record.slices != aState.slices;
-  record.configVersion = aState.configVersion;
-  record.configHash = aState.configHash;
-  record.oldestActiveVersion = aState.oldestActiveVersion;
   record.status = status;
   record.fenced = aState.fenced;
   record.slices = aState.slices;
   own.left = leaving;
   if (full) {
     impl.ChangeOwnRecord();
-  } else if (progress) {
-    impl.ChangeOwnProgress();
   }
+  const auto settled = aState.oldestActiveVersion == 0
+                         ? aState.configVersion
+                         : aState.oldestActiveVersion;
+  impl.MergeVersions(
+    own, aState.configVersion, aState.configHash, settled, impl.LastTime());
 }
 
 const Member& Membership::Self() const noexcept
--- a/src/process/messages.cpp
+++ b/src/process/messages.cpp
@@ -1,7 +1,5 @@
 #include "bronzedeal/process/messages.hpp"
 
-#include <xxhash.h>
-
 namespace bronzedeal::process {
 namespace {
 
@@ -48,10 +46,12 @@
     for (const auto& it : aBody.records) {
       n += EncodedSize(it);
     }
-    for (const auto& it : aBody.progress) {
-      n += EncodedSize(it);
+    n += EncodedSize(aBody.progress);
+    std::size_t wanted = 0;
+    for (const auto it : aBody.wanted) {
+      wanted += VarintSize(it);
     }
-    return n;
+    return n + Bytes(wanted);
   }
   std::size_t operator()(const LeaseRequestMessage& aBody) const noexcept
   {
@@ -86,12 +86,6 @@
 
 } // namespace
 
-std::uint64_t MemberKey(const InstanceId& aId,
-                        Incarnation aIncarnation) noexcept
-{
-  return XXH64(aId.data(), aId.size(), aIncarnation);
-}
-
 std::size_t EncodedSize(const Member& aMember) noexcept
 {
   auto n = Bytes(aMember.id.size()) + Bytes(aMember.httpAddress.size()) +
@@ -101,23 +95,20 @@
            Field(static_cast<std::uint64_t>(aMember.status)) +
            Field(aMember.configVersion) + HashSize(aMember.configHash) +
            Field(aMember.rosterRevision) + Field(aMember.fenced ? 1 : 0) +
-           Field(aMember.oldestActiveVersion);
+           Field(aMember.settledVersion);
   for (const auto& it : aMember.slices) {
     n += 2 + SliceSize(it);
   }
   return Bytes(n);
 }
 
-std::size_t EncodedSize(const ProgressGroup& aGroup) noexcept
+std::size_t EncodedSize(const ProgressMap& aMap) noexcept
 {
-  std::size_t sequences = 0;
-  for (const auto it : aGroup.sequences) {
-    sequences += VarintSize(it);
-  }
-  return Bytes(Field(aGroup.configVersion) + HashSize(aGroup.configHash) +
-               Field(aGroup.rosterRevision) +
-               Field(aGroup.oldestActiveVersion) +
-               Bytes(aGroup.members.size() * 8) + Bytes(sequences));
+  const auto n = aMap.blocks.size();
+  return n == 0 ? 0
+                : Bytes(Field(aMap.configVersion) + HashSize(aMap.configHash) +
+                        Field(aMap.rosterRevision) + 3 * Bytes(8 * n) +
+                        Bytes(4 * n));
 }
 
 std::size_t EncodedSize(const Message& aMessage) noexcept
--- a/src/process/withdrawal_report.cpp
+++ b/src/process/withdrawal_report.cpp
@@ -38,12 +38,10 @@
   bool silent = true;
 };
 
-bool IsSettled(ConfigVersion aInForce,
-               ConfigVersion aOldestActive,
-               ConfigVersion aVersion)
+bool IsSettled(const Member& aRecord, ConfigVersion aVersion)
 {
-  return aInForce >= aVersion &&
-         (aOldestActive == 0 || aOldestActive >= aVersion);
+  return aRecord.configVersion >= aVersion &&
+         aRecord.settledVersion >= aVersion;
 }
 
 } // namespace
@@ -244,8 +242,7 @@
         continue;
       }
       if (record.incarnation != 0 && record.sequence != 0 &&
-          IsSettled(
-            record.configVersion, record.oldestActiveVersion, aVersion)) {
+          IsSettled(record, aVersion)) {
         continue;
       }
       if (it.silent) {
@@ -265,12 +262,12 @@
             aFollowed.since,
             fmt::format("reports version {}", record.configVersion) });
       } else {
-        aWaiting.push_back({ WaitReason::UnfinishedWork,
-                             id,
-                             {},
-                             aFollowed.since,
-                             fmt::format("has work under version {}",
-                                         record.oldestActiveVersion) });
+        aWaiting.push_back(
+          { WaitReason::UnfinishedWork,
+            id,
+            {},
+            aFollowed.since,
+            fmt::format("has work under version {}", record.settledVersion) });
       }
     }
   }
