--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -66,6 +66,8 @@
   TimePoint suspectSince{};
   /// Transmissions left for the full record.
   unsigned fullLeft = 0;
+  /// Hash of id and incarnation, kept because digests are built often.
+  std::uint64_t key = 0;
 };
 
 struct Probe
@@ -138,6 +140,9 @@
   std::vector<Member> copies;
   std::uint64_t copiedEpoch = 0;
   std::vector<AuditNote> notes;
+  /// False when no entry has transmissions left, or none is suspect.
+  bool anyPending = true;
+  bool anySuspect = false;
   /// Bytes of the message that is being composed.
   std::size_t used = 0;
 
@@ -169,7 +174,9 @@
     index.clear();
     listed.clear();
     for (std::size_t i = 0; i < entries.size(); ++i) {
-      index[entries[i].record.id] = i;
+      auto& entry = entries[i];
+      index[entry.record.id] = i;
+      entry.key = Hash(entry.record.id, entry.record.incarnation);
       if (entries[i].listed) {
         listed.push_back(i);
       }
@@ -182,6 +189,7 @@
   void SpreadFull(Entry& aEntry)
   {
     aEntry.fullLeft = options.retransmits;
+    anyPending = true;
     ++epoch;
   }
 
@@ -225,6 +233,7 @@
     aEntry.record.status = aStatus;
     if (aStatus == MemberStatus::Suspect) {
       aEntry.suspectSince = aNow;
+      anySuspect = true;
     }
     aEntry.left = aEntry.left || aStatus == MemberStatus::Leaving;
     ++epoch;
@@ -242,6 +251,7 @@
     }
     auto& record = aEntry.record;
     record.incarnation = aIncarnation;
+    aEntry.key = Hash(record.id, aIncarnation);
     record.sequence = 0;
     record.status = MemberStatus::Alive;
     record.configVersion = 0;
@@ -363,13 +373,15 @@
     for (std::size_t b = 0; b < map.blocks.size(); ++b) {
       auto& block = map.blocks[b];
       for (std::size_t n = 0; n < BlockSize(b); ++n) {
-        const auto& record = Listed(b, n).record;
+        const auto& entry = Listed(b, n);
+        const auto& record = entry.record;
         const auto bit = std::uint64_t{ 1 } << n;
         const auto state = record.sequence * 4 +
                            static_cast<std::uint64_t>(Gravity(record.status));
-        block.incarnations ^= Hash(record.id, record.incarnation);
+        block.incarnations ^= entry.key;
+        // Multiplicative hashing; the upper half depends on all input bits.
         block.records ^= static_cast<std::uint32_t>(
-          Hash(record.id, record.incarnation ^ (state << 32)));
+          ((entry.key ^ state) * 0x9E3779B97F4A7C15ULL) >> 32);
         const bool inForce = record.configVersion == map.configVersion &&
                              record.configHash == map.configHash;
         block.inForce |= inForce ? bit : 0;
@@ -445,13 +457,17 @@
   // Adds full records with transmissions left, those with most left first.
   void AddPending(GossipMessage& aMessage)
   {
+    if (!anyPending) {
+      return;
+    }
     std::vector<std::size_t> pending;
     for (std::size_t i = 0; i < entries.size(); ++i) {
       if (entries[i].fullLeft > 0) {
         pending.push_back(i);
       }
     }
-    if (pending.empty()) {
+    anyPending = !pending.empty();
+    if (!anyPending) {
       return;
     }
     // Starting at a random place spreads equal entries over the targets.
@@ -612,11 +628,19 @@
 
   void TickSuspicions(TimePoint aNow)
   {
+    if (!anySuspect) {
+      return;
+    }
+    anySuspect = false;
     for (auto& it : entries) {
-      if (it.record.status == MemberStatus::Suspect &&
-          aNow - it.suspectSince >= options.suspicion) {
+      if (it.record.status != MemberStatus::Suspect) {
+        continue;
+      }
+      if (aNow - it.suspectSince >= options.suspicion) {
         SetStatus(it, MemberStatus::Dead, aNow);
         SpreadFull(it);
+      } else {
+        anySuspect = true;
       }
     }
   }
