--- a/src/daemon/codec.cpp
+++ b/src/daemon/codec.cpp
@@ -55,7 +55,7 @@
   for (const auto& it : aMember.slices) {
     EncodeSlice(it, *aOut.add_slices());
   }
-  aOut.set_oldest_active_version(aMember.oldestActiveVersion);
+  aOut.set_settled_version(aMember.settledVersion);
 }
 
 Member DecodeMember(const peer::MemberRecord& aIn)
@@ -73,10 +73,42 @@
   for (const auto& it : aIn.slices()) {
     member.slices.push_back(DecodeSlice(it));
   }
-  member.oldestActiveVersion = aIn.oldest_active_version();
+  member.settledVersion = aIn.settled_version();
   return member;
 }
 
+void EncodeProgress(const ProgressMap& aMap, peer::ProgressMap& aOut)
+{
+  aOut.set_config_version(aMap.configVersion);
+  aOut.set_config_hash(std::string(Bytes(aMap.configHash)));
+  aOut.set_roster_revision(aMap.rosterRevision);
+  for (const auto& it : aMap.blocks) {
+    aOut.add_incarnations(it.incarnations);
+    aOut.add_records(it.records);
+    aOut.add_in_force(it.inForce);
+    aOut.add_settled(it.settled);
+  }
+}
+
+/// A map whose lists differ in length is read as absent.
+ProgressMap DecodeProgress(const peer::ProgressMap& aIn)
+{
+  ProgressMap map;
+  map.configVersion = aIn.config_version();
+  map.configHash = Hash(aIn.config_hash());
+  map.rosterRevision = aIn.roster_revision();
+  const auto n = aIn.incarnations_size();
+  if (aIn.records_size() != n || aIn.in_force_size() != n ||
+      aIn.settled_size() != n) {
+    return map;
+  }
+  for (int i = 0; i < n; ++i) {
+    map.blocks.push_back(
+      { aIn.incarnations(i), aIn.records(i), aIn.in_force(i), aIn.settled(i) });
+  }
+  return map;
+}
+
 struct Encoder
 {
   peer::Envelope& out;
@@ -90,15 +122,11 @@
     for (const auto& it : aMessage.records) {
       EncodeMember(it, *gossip.add_records());
     }
-    for (const auto& it : aMessage.progress) {
-      auto& group = *gossip.add_progress();
-      group.set_config_version(it.configVersion);
-      group.set_config_hash(std::string(Bytes(it.configHash)));
-      group.set_roster_revision(it.rosterRevision);
-      group.set_oldest_active_version(it.oldestActiveVersion);
-      group.mutable_members()->Add(it.members.begin(), it.members.end());
-      group.mutable_sequences()->Add(it.sequences.begin(), it.sequences.end());
+    if (!aMessage.progress.blocks.empty()) {
+      EncodeProgress(aMessage.progress, *gossip.mutable_progress());
     }
+    gossip.mutable_wanted()->Add(aMessage.wanted.begin(),
+                                 aMessage.wanted.end());
   }
 
   void operator()(const LeaseRequestMessage& aMessage) const
@@ -159,19 +187,8 @@
   for (const auto& it : aIn.records()) {
     message.records.push_back(DecodeMember(it));
   }
-  for (const auto& it : aIn.progress()) {
-    if (it.members_size() != it.sequences_size()) {
-      continue;
-    }
-    ProgressGroup group;
-    group.configVersion = it.config_version();
-    group.configHash = Hash(it.config_hash());
-    group.rosterRevision = it.roster_revision();
-    group.oldestActiveVersion = it.oldest_active_version();
-    group.members.assign(it.members().begin(), it.members().end());
-    group.sequences.assign(it.sequences().begin(), it.sequences().end());
-    message.progress.push_back(std::move(group));
-  }
+  message.progress = DecodeProgress(aIn.progress());
+  message.wanted.assign(aIn.wanted().begin(), aIn.wanted().end());
   return message;
 }
 
--- a/src/daemon/control_report.cpp
+++ b/src/daemon/control_report.cpp
@@ -41,7 +41,7 @@
            { "config_version", aMember.configVersion },
            { "roster_revision", aMember.rosterRevision },
            { "fenced", aMember.fenced },
-           { "oldest_active_version", aMember.oldestActiveVersion },
+           { "settled_version", aMember.settledVersion },
            { "slices", Slices(aMember.slices) } };
 }
 
