Make the stand-in's silent cold start unmistakable

A trace showed a median of noise pull the 6-fold service time below 4 medians of the owner, so an answer of a cold server looked normal and the owner had fewer than three signs. The answers within the grace now take at least ten medians.

--- a/tools/standin/backend_server.cpp
+++ b/tools/standin/backend_server.cpp
@@ -15,8 +15,10 @@
 /// section 8), and from the moment that the last of them has reached it.
 constexpr unsigned kGraceAnswers = 3;
 constexpr std::int64_t kGraceMicros = 50'000;
-/// Above 4, from which on a sender takes answers for those of a cold server.
-constexpr double kSilentColdFactor = 6;
+/// Least service time of those answers, in medians. A sender takes an answer
+/// for that of a cold server above 4 of its own medians, which include waiting
+/// and the network.
+constexpr double kSilentColdFactor = 10;
 /// Service times of the state `slow`.
 constexpr double kSlowFactor = 10;
 
@@ -453,7 +455,7 @@
     ms *= mOptions.stragglerFactor;
   }
   if (mState == ServerState::Cold && mGraceAnswers > 0) {
-    ms *= kSilentColdFactor;
+    ms = std::max(ms, mOptions.serviceMs) * kSilentColdFactor;
   }
   return ms;
 }
