Count an owner's work under its own version in force

Cause: an attempt from an entry instance with an older version was counted under that version, so an instance could announce a version as settled and then report work under a lower one again. Change: the owner counts under the version by which it judges the send. Result: builds; covered by the withdrawal scenario.

--- a/src/daemon/server_agent.cpp
+++ b/src/daemon/server_agent.cpp
@@ -192,11 +192,13 @@
     attempt->receivedAt = now;
     const auto& context = *attempt->request.context;
     // The count begins before the check, so that a report of "complete" never
-    // misses work that passed the check.
-    attempt->token = mEnvironment.ledger.Begin(context.configVersion,
-                                               context.selector,
-                                               mServer.failureDomain,
-                                               WorkKind::Queued);
+    // misses work that passed the check. It begins under the own version in
+    // force, by which the send is judged, not under that of the entry instance.
+    attempt->token =
+      mEnvironment.ledger.Begin(mEnvironment.snapshots.Load()->Version(),
+                                context.selector,
+                                mServer.failureDomain,
+                                WorkKind::Queued);
     const auto code =
       mLimiter.Draining() ? ResultCode::NotRunLeaving : Check(*attempt, now);
     if (code != ResultCode::Ok) {
