Run the peer streams on one thread per direction

Cause: gRPC's callback API wakes several threads for each message; task switches dominated its profile. Change: PeerTransport uses completion queues, one thread for outgoing and one for incoming streams.

--- a/src/connection/peer_transport.cpp
+++ b/src/connection/peer_transport.cpp
@@ -75,9 +75,9 @@
 public:
   explicit Impl(PeerTransportOptions aOptions)
     : mOptions(std::move(aOptions))
-    , mService(*this)
     , mRandom(mOptions.seed)
     , mTimerThread([this] { RunTimers(); })
+    , mClientThread([this] { Poll(mClientQueue); })
   {
   }
   ~Impl() { Shutdown(); }
@@ -104,7 +104,12 @@
     builder.AddChannelArgument(
       GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kKeepAliveMs / 2);
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    mServerQueue = builder.AddCompletionQueue();
     mServer = builder.BuildAndStart();
+    if (mServer) {
+      mServerThread = std::thread([this] { Poll(*mServerQueue); });
+      (new ServerStream(*this))->Accept();
+    }
     if (!mServer || port <= 0) {
       return boost::leaf::new_error(
         Error{ ResultCode::IoError,
@@ -210,16 +215,37 @@
     if (mServer) {
       mServer->Shutdown(std::chrono::system_clock::now());
     }
-    std::unique_lock lock(mStreamsMutex);
-    mStreamsEnded.wait(lock, [this] { return mStreams == 0; });
+    {
+      std::unique_lock lock(mStreamsMutex);
+      mStreamsEnded.wait(lock, [this] { return mStreams == 0; });
+    }
+    mClientQueue.Shutdown();
+    mClientThread.join();
+    if (mServerQueue) {
+      mServerQueue->Shutdown();
+      if (mServerThread.joinable()) {
+        mServerThread.join();
+      }
+      // A queue whose server never started has no thread to empty it.
+      void* tag = nullptr;
+      bool ok = false;
+      while (mServerQueue->Next(&tag, &ok)) {
+      }
+    }
   }
 
 private:
   struct Link;
   using LinkPtr = std::shared_ptr<Link>;
 
-  /// One end of an `Exchange` call. All members but the callbacks are used
-  /// under the mutex of the link.
+  /// An operation of a stream; its address is the tag in the completion queue.
+  struct Operation
+  {
+    std::function<void(bool aOk)> done;
+  };
+
+  /// One end of an `Exchange` call. Its operations end on the one thread of its
+  /// completion queue; writes are started under the mutex of the link.
   struct Stream
   {
     virtual ~Stream() = default;
@@ -271,9 +297,16 @@
     PeerTraffic traffic;
   };
 
-  class ClientStream final
-    : public grpc::ClientBidiReactor<Envelope, Envelope>
-    , public Stream
+  static grpc::WriteOptions OptionsOfWrite(bool aMore)
+  {
+    grpc::WriteOptions options;
+    if (aMore) {
+      options.set_buffer_hint();
+    }
+    return options;
+  }
+
+  class ClientStream final : public Stream
   {
   public:
     ClientStream(Impl& aImpl, LinkPtr aLink)
@@ -281,56 +314,88 @@
       , mLink(std::move(aLink))
     {
       mImpl.CountStream(1);
+      mStart.done = [this](bool aOk) { OnStart(aOk); };
+      mMetadata.done = [this](bool aOk) { OnMetadata(aOk); };
+      mRead.done = [this](bool aOk) { OnRead(aOk); };
+      mWrite.done = [this](bool aOk) { OnWrite(aOk); };
+      mFinish.done = [this](bool) { OnFinish(); };
     }
 
     /// Called with the link locked.
     void Begin()
     {
-      mLink->stub->async()->Exchange(&mContext, this);
       out.set_sender(mImpl.mOptions.self);
       out.set_sender_incarnation(mImpl.mOptions.incarnation);
       out.set_receiver(mLink->id);
       out.mutable_hello();
-      // Keeps the call alive for writes from other threads.
-      AddHold();
       writing = true;
-      StartWrite(&out);
-      StartRead(&mIn);
-      StartCall();
+      mCall = mLink->stub->PrepareAsyncExchange(&mContext, &mImpl.mClientQueue);
+      mCall->StartCall(&mStart);
     }
     void Write(bool aMore) override
     {
-      grpc::WriteOptions options;
-      if (aMore) {
-        options.set_buffer_hint();
-      }
-      StartWrite(&out, options);
+      mCall->Write(out, OptionsOfWrite(aMore), &mWrite);
     }
     void Cancel() override { mContext.TryCancel(); }
 
-    void OnReadInitialMetadataDone(bool aOk) override
+  private:
+    void OnStart(bool aOk)
     {
-      const std::lock_guard lock(mLink->mutex);
-      established = aOk;
-      if (aOk) {
-        mLink->backoff = Duration::zero();
+      if (!aOk) {
+        mReadEnded = true;
+        mMetadataEnded = true;
+        OnWrite(false);
+        return;
+      }
+      mCall->ReadInitialMetadata(&mMetadata);
+      mCall->Read(&mIn, &mRead);
+      Write(false);
+    }
+    void OnMetadata(bool aOk)
+    {
+      {
+        const std::lock_guard lock(mLink->mutex);
+        established = aOk;
+        if (aOk) {
+          mLink->backoff = Duration::zero();
+        }
       }
+      mMetadataEnded = true;
+      FinishWhenIdle();
     }
-    void OnReadDone(bool aOk) override
+    void OnRead(bool aOk)
     {
       if (aOk) {
         mImpl.Received(mLink.get(), std::move(mIn));
-        StartRead(&mIn);
+        mCall->Read(&mIn, &mRead);
+        return;
+      }
+      mReadEnded = true;
+      FinishWhenIdle();
+    }
+    void OnWrite(bool aOk)
+    {
+      mImpl.Written(mLink, *this, aOk);
+      FinishWhenIdle();
+    }
+    /// Ends the call once no other operation is in progress.
+    void FinishWhenIdle()
+    {
+      if (!mReadEnded) {
         return;
       }
       {
         const std::lock_guard lock(mLink->mutex);
-        mImpl.Close(*mLink, *this);
+        Close(*mLink, *this);
+        if (writing) {
+          return;
+        }
+      }
+      if (mMetadataEnded) {
+        mCall->Finish(&mStatus, &mFinish);
       }
-      RemoveHold();
     }
-    void OnWriteDone(bool aOk) override { mImpl.Written(mLink, *this, aOk); }
-    void OnDone(const grpc::Status&) override
+    void OnFinish()
     {
       mImpl.Broken(mLink, established);
       auto& impl = mImpl;
@@ -338,101 +403,132 @@
       impl.CountStream(-1);
     }
 
-  private:
     Impl& mImpl;
     LinkPtr mLink;
     grpc::ClientContext mContext;
+    std::unique_ptr<grpc::ClientAsyncReaderWriter<Envelope, Envelope>> mCall;
+    grpc::Status mStatus;
     Envelope mIn;
+    Operation mStart;
+    Operation mMetadata;
+    Operation mRead;
+    Operation mWrite;
+    Operation mFinish;
+    bool mReadEnded = false;
+    bool mMetadataEnded = false;
   };
 
-  class ServerStream final
-    : public grpc::ServerBidiReactor<Envelope, Envelope>
-    , public Stream
+  class ServerStream final : public Stream
   {
   public:
-    ServerStream(Impl& aImpl, grpc::CallbackServerContext& aContext)
+    explicit ServerStream(Impl& aImpl)
       : mImpl(aImpl)
-      , mContext(aContext)
+      , mCall(&mContext)
     {
       mImpl.CountStream(1);
-      StartSendInitialMetadata();
-      StartRead(&mIn);
+      mStart.done = [this](bool aOk) { OnStart(aOk); };
+      mMetadata.done = [this](bool) { OnMetadata(); };
+      mRead.done = [this](bool aOk) { OnRead(aOk); };
+      mWrite.done = [this](bool aOk) { OnWrite(aOk); };
+      mFinish.done = [this](bool) { OnFinish(); };
     }
 
+    void Accept()
+    {
+      auto* queue = mImpl.mServerQueue.get();
+      mImpl.mService.RequestExchange(&mContext, &mCall, queue, queue, &mStart);
+    }
     void Write(bool aMore) override
     {
-      grpc::WriteOptions options;
-      if (aMore) {
-        options.set_buffer_hint();
-      }
-      StartWrite(&out, options);
+      mCall.Write(out, OptionsOfWrite(aMore), &mWrite);
     }
     void Cancel() override { mContext.TryCancel(); }
 
-    void OnReadDone(bool aOk) override
+  private:
+    void OnStart(bool aOk)
+    {
+      if (!aOk) {
+        // The server shuts down.
+        OnFinish();
+        return;
+      }
+      (new ServerStream(mImpl))->Accept();
+      mCall.SendInitialMetadata(&mMetadata);
+      mCall.Read(&mIn, &mRead);
+    }
+    void OnMetadata()
+    {
+      mMetadataEnded = true;
+      FinishWhenIdle();
+    }
+    void OnRead(bool aOk)
     {
       if (!aOk) {
-        End();
+        mReadEnded = true;
+        FinishWhenIdle();
         return;
       }
       if (!mLink) {
         mLink = mImpl.Adopt(mIn.sender(), *this);
       }
       mImpl.Received(mLink.get(), std::move(mIn));
-      StartRead(&mIn);
+      mCall.Read(&mIn, &mRead);
     }
-    void OnWriteDone(bool aOk) override
+    void OnWrite(bool aOk)
     {
-      if (mImpl.Written(mLink, *this, aOk)) {
-        Finish(grpc::Status::OK);
-      }
+      mImpl.Written(mLink, *this, aOk);
+      FinishWhenIdle();
     }
-    void OnDone() override
+    void FinishWhenIdle()
     {
-      if (mLink) {
-        mImpl.Broken(mLink, true);
+      if (!mReadEnded) {
+        return;
       }
-      auto& impl = mImpl;
-      delete this;
-      impl.CountStream(-1);
-    }
-
-  private:
-    void End()
-    {
       if (mLink) {
         const std::lock_guard lock(mLink->mutex);
-        mImpl.Close(*mLink, *this);
+        Close(*mLink, *this);
         if (writing) {
-          // OnWriteDone finishes the call.
           return;
         }
       }
-      Finish(grpc::Status::OK);
+      if (mMetadataEnded) {
+        mCall.Finish(grpc::Status::OK, &mFinish);
+      }
+    }
+    void OnFinish()
+    {
+      if (mLink) {
+        mImpl.Broken(mLink, true);
+      }
+      auto& impl = mImpl;
+      delete this;
+      impl.CountStream(-1);
     }
 
     Impl& mImpl;
-    grpc::CallbackServerContext& mContext;
+    grpc::ServerContext mContext;
+    grpc::ServerAsyncReaderWriter<Envelope, Envelope> mCall;
     LinkPtr mLink;
     Envelope mIn;
+    Operation mStart;
+    Operation mMetadata;
+    Operation mRead;
+    Operation mWrite;
+    Operation mFinish;
+    bool mReadEnded = false;
+    bool mMetadataEnded = false;
   };
 
-  class Service final : public peer::Peer::CallbackService
+  /// Runs the ends of the operations of one completion queue. A single thread
+  /// for each direction avoids waking several threads for every message.
+  static void Poll(grpc::CompletionQueue& aQueue)
   {
-  public:
-    explicit Service(Impl& aImpl)
-      : mImpl(aImpl)
-    {
+    void* tag = nullptr;
+    bool ok = false;
+    while (aQueue.Next(&tag, &ok)) {
+      static_cast<Operation*>(tag)->done(ok);
     }
-    grpc::ServerBidiReactor<Envelope, Envelope>* Exchange(
-      grpc::CallbackServerContext* aContext) override
-    {
-      return new ServerStream(mImpl, *aContext);
-    }
-
-  private:
-    Impl& mImpl;
-  };
+  }
 
   LinkPtr Find(const InstanceId& aPeer) const
   {
@@ -614,20 +710,15 @@
 
   // --- ends of operations ---
 
-  /// Goes on with the next message; true when the stream was closed meanwhile.
-  bool Written(const LinkPtr& aLink, Stream& aStream, bool aOk)
+  /// Goes on with the next message.
+  void Written(const LinkPtr& aLink, Stream& aStream, bool aOk)
   {
     const std::lock_guard lock(aLink->mutex);
     aStream.writing = false;
-    // A stream that is still listed is ended by its failing read.
-    const bool ended =
-      std::find(aLink->streams.begin(), aLink->streams.end(), &aStream) ==
-      aLink->streams.end();
     aStream.closed = aStream.closed || !aOk;
-    if (!ended && !aStream.closed) {
+    if (!aStream.closed) {
       Pump(aLink);
     }
-    return ended;
   }
 
   /// A stream of the link has ended.
@@ -697,8 +788,10 @@
   }
 
   const PeerTransportOptions mOptions;
-  Service mService;
+  peer::Peer::AsyncService mService;
+  std::unique_ptr<grpc::ServerCompletionQueue> mServerQueue;
   std::unique_ptr<grpc::Server> mServer;
+  grpc::CompletionQueue mClientQueue;
 
   mutable std::shared_mutex mLinksMutex;
   std::unordered_map<InstanceId, LinkPtr> mLinks;
@@ -715,6 +808,8 @@
   std::multimap<TimePoint, std::function<void()>> mTimers;
   bool mStopping = false;
   std::thread mTimerThread;
+  std::thread mClientThread;
+  std::thread mServerThread;
 };
 
 PeerTransport::PeerTransport(PeerTransportOptions aOptions)
