End child processes with a killed harness

A scenario that its time limit ends would leave instances and stand-ins behind. Children now get SIGKILL when their parent dies.

--- a/bench/harness.py
+++ b/bench/harness.py
@@ -6,6 +6,7 @@
 """
 
 import copy
+import ctypes
 import json
 import os
 import pathlib
@@ -89,6 +90,15 @@
         time.sleep(interval)
 
 
+_LIBC = ctypes.CDLL(None)
+_PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent():
+    """Runs in a child: a killed harness must not leave processes behind."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Process:
     """One child process that prints a `listening` line."""
 
@@ -96,7 +106,8 @@
         self.log = open(log, "ab")
         self.child = subprocess.Popen(
             [str(it) for it in command], stdout=subprocess.PIPE,
-            stderr=self.log, stdin=subprocess.DEVNULL)
+            stderr=self.log, stdin=subprocess.DEVNULL,
+            preexec_fn=_end_with_parent)
         self.addresses = {}
         if listening_timeout:
             try:
@@ -167,7 +178,7 @@
         with open(log or os.devnull, "ab") as errors:
             self.child = subprocess.Popen(
                 command, stdout=subprocess.PIPE, stderr=errors,
-                stdin=subprocess.DEVNULL)
+                stdin=subprocess.DEVNULL, preexec_fn=_end_with_parent)
 
     def report(self, timeout):
         try:
