Send the marked query with one kind and as a recurring content

The fingerprint covers kind and content, so two kinds were two poisonous requests and could crash four servers. Some marked queries also counted as contents of their own, which made P6 report runs of earlier ones.

--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -349,12 +349,14 @@
     }
     auto query = std::make_shared<Query>();
     query->caller = caller;
-    query->traffic = &AnyTraffic(mOptions.traffic);
     query->crash = Draw(mOptions.crashShare);
+    // One request that is sent again and again has one kind.
+    query->traffic =
+      query->crash ? &mOptions.traffic.front() : &AnyTraffic(mOptions.traffic);
     if (!query->crash) {
       mReport.Offer();
     }
-    query->unique = Draw(mOptions.uniqueShare);
+    query->unique = !query->crash && Draw(mOptions.uniqueShare);
     query->content =
       query->crash ? fmt::format("poison-{}", mOptions.seed)
       : query->unique
