--- a/tests/process/world_test.cpp
+++ b/tests/process/world_test.cpp
@@ -12,7 +12,7 @@
 
 namespace bronzedeal::process {
 
-void showValue(const Fault& aFault, std::ostream& aOut)
+void ShowFault(const Fault& aFault, std::ostream& aOut)
 {
   aOut << "{kind " << static_cast<int>(aFault.kind) << ", at "
        << aFault.at.count() << " ms, length " << aFault.length.count()
@@ -77,7 +77,7 @@
     RC_LOG() << options.instances << " instances, seed " << options.seed
              << "\n";
     for (const auto& it : options.faults) {
-      showValue(it, RC_LOG());
+      ShowFault(it, RC_LOG());
       RC_LOG() << "\n";
     }
     RC_FAIL(violations[0]);
