--- /dev/null
+++ b/tests/process/audit_and_fence_test.cpp
@@ -0,0 +1,91 @@
+#include "bronzedeal/process/audit_trail.hpp"
+#include "bronzedeal/process/fence.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+#include <thread>
+#include <vector>
+
+namespace bronzedeal::process {
+namespace {
+
+TimePoint Ms(int aTime)
+{
+  return TimePoint(milliseconds(aTime));
+}
+
+// Guards against a trail that grows without bound, and against a reader that
+// misses or repeats events.
+TEST(AuditTrail, KeepsTheLatestAndReadsAfter)
+{
+  AuditTrail trail("entry-0", 4);
+  EXPECT_TRUE(trail.After(0).empty());
+  for (int i = 0; i < 6; ++i) {
+    trail.Record({ AuditKind::ConfigAccepted, 7, std::to_string(i) }, 100);
+  }
+  EXPECT_EQ(trail.LastSequence(), 6U);
+  const auto all = trail.After(0);
+  ASSERT_EQ(all.size(), 4U);
+  EXPECT_EQ(all.front().sequence, 3U);
+  EXPECT_EQ(all.back().detail, "5");
+  EXPECT_EQ(all.back().instance, "entry-0");
+  EXPECT_EQ(trail.After(5).size(), 1U);
+  EXPECT_EQ(trail.After(3, 2).back().sequence, 5U);
+  EXPECT_TRUE(trail.After(6).empty());
+  EXPECT_TRUE(trail.After(99).empty());
+}
+
+// Guards against lost or repeated sequence numbers with several writers.
+TEST(AuditTrail, IsThreadSafe)
+{
+  AuditTrail trail("entry-0");
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 4; ++t) {
+    threads.emplace_back([&] {
+      for (int i = 0; i < 500; ++i) {
+        trail.Record({ AuditKind::Other, 0, "" }, 0);
+        (void)trail.After(trail.LastSequence() / 2, 10);
+      }
+    });
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+  const auto events = trail.After(0);
+  ASSERT_EQ(events.size(), 2000U);
+  EXPECT_EQ(events.back().sequence, 2000U);
+}
+
+// Guards against kinds that share a name, which would be ambiguous in reports.
+TEST(AuditKind, NamesAreUnique)
+{
+  std::set<std::string_view> names;
+  for (std::size_t i = 0; i < kAuditKindCount; ++i) {
+    EXPECT_TRUE(names.insert(NameOf(AuditKind(i))).second);
+  }
+  EXPECT_FALSE(names.contains("unknown"));
+}
+
+// Guards against a cut-off instance that goes on, a fresh one that starts
+// before it has met its peers, and a fence that flickers.
+TEST(Fence, FollowsContact)
+{
+  Fence fence(Ms(0));
+  EXPECT_TRUE(fence.Fenced());
+  EXPECT_FALSE(fence.Update({ 6, 6, 2, 2 }, Ms(0)));
+  EXPECT_FALSE(fence.Update({ 6, 6, 3, 3 }, Ms(100)));
+  EXPECT_FALSE(fence.Update({ 6, 6, 3, 3 }, Ms(599)));
+  EXPECT_TRUE(fence.Update({ 6, 6, 3, 3 }, Ms(600)));
+  EXPECT_FALSE(fence.Fenced());
+  EXPECT_TRUE(fence.Update({ 6, 6, 2, 2 }, Ms(700)));
+  EXPECT_TRUE(fence.Fenced());
+  EXPECT_EQ(fence.Since(), Ms(700));
+  fence.Update({ 6, 6, 3, 3 }, Ms(800));
+  fence.Update({ 6, 6, 2, 2 }, Ms(900));
+  fence.Update({ 6, 6, 3, 3 }, Ms(1000));
+  EXPECT_FALSE(fence.Update({ 6, 6, 3, 3 }, Ms(1400)))
+    << "contact must hold without a break";
+}
+
+} // namespace
+} // namespace bronzedeal::process
