--- a/tests/process/audit_and_fence_test.cpp
+++ b/tests/process/audit_and_fence_test.cpp
@@ -40,6 +40,7 @@
 {
   AuditTrail trail("entry-0");
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&] {
       for (int i = 0; i < 500; ++i) {
--- a/tests/process/config_distributor_test.cpp
+++ b/tests/process/config_distributor_test.cpp
@@ -80,8 +80,8 @@
   std::size_t Notes(AuditKind aKind) const
   {
     return static_cast<std::size_t>(
-      std::count_if(actions.notes.begin(), actions.notes.end(), [&](auto& it) {
-        return it.kind == aKind;
+      std::count_if(actions.notes.begin(), actions.notes.end(), [&](auto& aIt) {
+        return aIt.kind == aKind;
       }));
   }
 
@@ -106,6 +106,7 @@
 TEST(ReadersOf, RotatesAndIsBounded)
 {
   std::vector<InstanceId> live;
+  live.reserve(20);
   for (int i = 0; i < 20; ++i) {
     live.push_back(fmt::format("entry-{}", i));
   }
--- a/tests/process/lease_test.cpp
+++ b/tests/process/lease_test.cpp
@@ -72,10 +72,11 @@
     }
     EXPECT_EQ(perDomain.size(), 6U);
     auto smaller = roster;
-    std::erase_if(smaller, [&](const auto& it) { return it.id == before[0]; });
+    std::erase_if(smaller,
+                  [&](const auto& aIt) { return aIt.id == before[0]; });
     const auto after = WitnessSet(slice, smaller);
-    const auto kept = std::count_if(after.begin(), after.end(), [&](auto& it) {
-      return std::find(before.begin(), before.end(), it) != before.end();
+    const auto kept = std::count_if(after.begin(), after.end(), [&](auto& aIt) {
+      return std::find(before.begin(), before.end(), aIt) != before.end();
     });
     EXPECT_EQ(kept, 8);
   }
@@ -120,9 +121,9 @@
 {
   const auto large = Roster(30);
   const auto set = WitnessSet(kSlice, large);
-  const auto self = set[4];
+  const auto& self = set[4];
   auto without = large;
-  std::erase_if(without, [&](const auto& it) { return it.id == self; });
+  std::erase_if(without, [&](const auto& aIt) { return aIt.id == self; });
   LeaseVoter voter(self, Ms(0));
   voter.SetReady(true);
   voter.SetRoster(1, without, Ms(0));
--- a/tests/process/withdrawal_report_test.cpp
+++ b/tests/process/withdrawal_report_test.cpp
@@ -52,8 +52,8 @@
                     const InstanceId& aInstance = "")
   {
     return std::any_of(
-      aStatus.waiting.begin(), aStatus.waiting.end(), [&](const auto& it) {
-        return it.reason == aReason && it.instance == aInstance;
+      aStatus.waiting.begin(), aStatus.waiting.end(), [&](const auto& aIt) {
+        return aIt.reason == aReason && aIt.instance == aInstance;
       });
   }
 
