Withdrawal evaluation by index, completion reported once

Cause: with 820 slices and 16 followed versions, each change of a record cost lookups by name for every witness, and a claim was only latched by a query. Change: witness sets as places in the sorted records; completion is checked with each observation and reported by TakeCompleted; the holder ranks only slices that concern it.

--- a/include/bronzedeal/process/withdrawal_report.hpp
+++ b/include/bronzedeal/process/withdrawal_report.hpp
@@ -110,6 +110,9 @@
   /// when it was not followed yet.
   WithdrawalStatus Evaluate(ConfigVersion aVersion, TimePoint aNow);
 
+  /// Versions for which the claim has come to hold since the last call.
+  [[nodiscard]] std::vector<ConfigVersion> TakeCompleted();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> mImpl;
--- a/src/process/lease_holder.cpp
+++ b/src/process/lease_holder.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <random>
-#include <set>
 #include <unordered_map>
 #include <utility>
 #include <xxhash.h>
@@ -280,7 +279,12 @@
         }
         rank.orphanSince = old->second.orphanSince;
       }
-      fresh.emplace(slice, std::move(rank));
+      // At 820 instances only a few slices concern this one.
+      if (leases.contains(slice) ||
+          std::find(rank.order.begin(), rank.order.end(), self) !=
+            rank.order.end()) {
+        fresh.emplace(slice, std::move(rank));
+      }
     }
     ranks = std::move(fresh);
   }
@@ -333,12 +337,12 @@
       rankedEpoch = aInputs.candidateEpoch;
       rankedSlices.assign(aInputs.slices.begin(), aInputs.slices.end());
     }
-    const std::set<SliceId> announced(aInputs.announced.begin(),
-                                      aInputs.announced.end());
     for (auto& [slice, rank] : ranks) {
       const auto held = leases.find(slice);
-      if (announced.contains(slice) ||
-          (held != leases.end() && Holds(held->second))) {
+      const bool announced =
+        std::find(aInputs.announced.begin(), aInputs.announced.end(), slice) !=
+        aInputs.announced.end();
+      if (announced || (held != leases.end() && Holds(held->second))) {
         rank.orphanSince.reset();
       } else if (!rank.orphanSince) {
         rank.orphanSince = aNow;
--- a/src/process/withdrawal_report.cpp
+++ b/src/process/withdrawal_report.cpp
@@ -36,6 +36,7 @@
   Member record;
   TimePoint silentSince;
   bool silent = true;
+  bool listed = false;
 };
 
 bool IsSettled(const Member& aRecord, ConfigVersion aVersion)
@@ -56,11 +57,20 @@
 {
   LeaseOptions options;
   std::map<ConfigVersion, Followed> followed;
-  std::map<InstanceId, Known> known;
+  /// Sorted by id.
+  std::vector<Known> known;
   std::set<SliceId> slices;
-  std::map<SliceId, std::vector<InstanceId>> witnesses;
+  /// Places in `known`; a witness that is not there is left out and counts in
+  /// the size only.
+  struct Witnesses
+  {
+    std::size_t size = 0;
+    std::vector<std::size_t> places;
+  };
+  std::map<SliceId, Witnesses> witnesses;
   RosterRevision witnessRevision = 0;
-  std::set<InstanceId> listed;
+  std::size_t rosterSize = 0;
+  std::vector<ConfigVersion> completed;
   std::map<std::tuple<InstanceId, Incarnation, ConfigVersion>, LedgerCounts>
     counts;
   std::optional<TimePoint> lastObserved;
@@ -77,19 +87,25 @@
                                                 (1.0 + options.drift));
   }
 
-  const Member* Find(const InstanceId& aId) const
+  std::optional<std::size_t> PlaceOf(const InstanceId& aId) const
   {
-    const auto it = known.find(aId);
-    return it == known.end() ? nullptr : &it->second.record;
+    const auto it = std::lower_bound(known.begin(),
+                                     known.end(),
+                                     aId,
+                                     [](const auto& aKnown, const auto& aKey) {
+                                       return aKnown.record.id < aKey;
+                                     });
+    return it == known.end() || it->record.id != aId
+             ? std::nullopt
+             : std::optional(static_cast<std::size_t>(it - known.begin()));
   }
 
-  std::size_t Reporting(const std::vector<InstanceId>& aWitnesses,
+  std::size_t Reporting(const Witnesses& aWitnesses,
                         ConfigVersion aVersion) const
   {
-    return static_cast<std::size_t>(
-      std::count_if(aWitnesses.begin(), aWitnesses.end(), [&](const auto& aIt) {
-        const auto* record = Find(aIt);
-        return record != nullptr && record->configVersion >= aVersion;
+    return static_cast<std::size_t>(std::count_if(
+      aWitnesses.places.begin(), aWitnesses.places.end(), [&](auto aPlace) {
+        return known[aPlace].record.configVersion >= aVersion;
       }));
   }
 
@@ -97,42 +113,54 @@
   {
     return static_cast<std::size_t>(
       std::count_if(known.begin(), known.end(), [&](const auto& aIt) {
-        return aIt.second.record.configVersion >= aVersion &&
-               listed.contains(aIt.first);
+        return aIt.listed && aIt.record.configVersion >= aVersion;
       }));
   }
 
   // True when requests with a lower version can get no quorum any more.
   bool Refuses(ConfigVersion aVersion) const
   {
-    return !listed.empty() && !slices.empty() &&
-           ReportingAll(aVersion) * 2 > listed.size() &&
+    return rosterSize > 0 && !slices.empty() &&
+           ReportingAll(aVersion) * 2 > rosterSize &&
            std::all_of(
              witnesses.begin(), witnesses.end(), [&](const auto& aIt) {
                return Reporting(aIt.second, aVersion) >=
-                      QuorumOf(aIt.second.size());
+                      QuorumOf(aIt.second.size);
              });
   }
 
-  void TakeMembers(std::span<const Member> aMembers, TimePoint aNow)
+  // Takes the records; returns true when the set of ids has changed.
+  bool TakeMembers(std::span<const Member> aMembers, TimePoint aNow)
   {
-    std::map<InstanceId, Known> next;
+    std::vector<Known> next;
+    next.reserve(aMembers.size());
     for (const auto& it : aMembers) {
-      Known entry{ it, aNow, true };
+      Known entry{ it, aNow, true, false };
       entry.silent = it.incarnation == 0 || it.sequence == 0 ||
                      it.status == MemberStatus::Dead;
-      const auto old = known.find(it.id);
-      if (old != known.end()) {
-        if (old->second.silent) {
-          entry.silentSince = old->second.silentSince;
+      if (const auto old = PlaceOf(it.id)) {
+        entry.listed = known[*old].listed;
+        if (known[*old].silent) {
+          entry.silentSince = known[*old].silentSince;
         }
       }
       for (const auto& slice : it.slices) {
         AddSlice(slice);
       }
-      next.emplace(it.id, std::move(entry));
+      next.push_back(std::move(entry));
     }
+    std::sort(next.begin(), next.end(), [](const auto& aL, const auto& aR) {
+      return aL.record.id < aR.record.id;
+    });
+    const bool changed = !std::equal(next.begin(),
+                                     next.end(),
+                                     known.begin(),
+                                     known.end(),
+                                     [](const auto& aL, const auto& aR) {
+                                       return aL.record.id == aR.record.id;
+                                     });
     known = std::move(next);
+    return changed;
   }
 
   void AddSlice(const SliceId& aSlice)
@@ -151,13 +179,25 @@
       return;
     }
     witnessRevision = aInputs.rosterRevision;
-    listed.clear();
+    rosterSize = aInputs.roster.size();
+    for (auto& it : known) {
+      it.listed = false;
+    }
     for (const auto& it : aInputs.roster) {
-      listed.insert(it.id);
+      if (const auto place = PlaceOf(it.id)) {
+        known[*place].listed = true;
+      }
     }
     witnesses.clear();
-    for (const auto& it : slices) {
-      witnesses.emplace(it, WitnessSet(it, aInputs.roster));
+    for (const auto& slice : slices) {
+      const auto set = WitnessSet(slice, aInputs.roster);
+      auto& entry = witnesses[slice];
+      entry.size = set.size();
+      for (const auto& it : set) {
+        if (const auto place = PlaceOf(it)) {
+          entry.places.push_back(*place);
+        }
+      }
     }
   }
 
@@ -200,18 +240,18 @@
                         std::vector<WaitItem>& aWaiting) const
   {
     const auto n = ReportingAll(aVersion);
-    if (n * 2 <= listed.size() || listed.empty() || slices.empty()) {
+    if (n * 2 <= rosterSize || slices.empty()) {
       aWaiting.push_back({ WaitReason::RosterMajority,
                            {},
                            {},
                            aFollowed.brokenSince,
                            fmt::format("{} of {} instances report the version",
                                        n,
-                                       listed.size()) });
+                                       rosterSize) });
     }
     for (const auto& [slice, set] : witnesses) {
       const auto reporting = Reporting(set, aVersion);
-      if (reporting < QuorumOf(set.size())) {
+      if (reporting < QuorumOf(set.size)) {
         aWaiting.push_back(
           { WaitReason::WitnessQuorum,
             {},
@@ -219,8 +259,8 @@
             aFollowed.brokenSince,
             fmt::format("{} of {} witnesses report the version, {} needed",
                         reporting,
-                        set.size(),
-                        QuorumOf(set.size())) });
+                        set.size,
+                        QuorumOf(set.size)) });
       }
     }
   }
@@ -230,8 +270,9 @@
                       bool aLeasesOver,
                       std::vector<WaitItem>& aWaiting) const
   {
-    for (const auto& [id, it] : known) {
+    for (const auto& it : known) {
       const auto& record = it.record;
+      const auto& id = record.id;
       const auto found = counts.find({ id, record.incarnation, aVersion });
       if (!it.silent && found != counts.end() && Any(found->second)) {
         aWaiting.push_back({ WaitReason::UnfinishedWork,
@@ -272,16 +313,48 @@
     }
   }
 
-  WithdrawalStatus Status(ConfigVersion aVersion, Followed& aFollowed) const
+  bool LeasesOver(const Followed& aFollowed) const
+  {
+    return aFollowed.refusedSince &&
+           *lastObserved - *aFollowed.refusedSince >= Bound();
+  }
+
+  bool IsCounted(const Member& aRecord, ConfigVersion aVersion) const
+  {
+    const auto found =
+      counts.find({ aRecord.id, aRecord.incarnation, aVersion });
+    return found != counts.end() && Any(found->second);
+  }
+
+  // The condition for the claim; `Status` says what is missing.
+  bool IsComplete(ConfigVersion aVersion, const Followed& aFollowed) const
+  {
+    return LeasesOver(aFollowed) &&
+           std::all_of(known.begin(), known.end(), [&](const Known& aIt) {
+             return aIt.silent || (IsSettled(aIt.record, aVersion) &&
+                                   !IsCounted(aIt.record, aVersion));
+           });
+  }
+
+  void Complete()
+  {
+    for (auto& [version, it] : followed) {
+      if (!it.complete && IsComplete(version, it)) {
+        it.complete = true;
+        completed.push_back(version);
+      }
+    }
+  }
+
+  WithdrawalStatus Status(ConfigVersion aVersion,
+                          const Followed& aFollowed) const
   {
     WithdrawalStatus status{ aVersion, aFollowed.complete, {} };
     if (aFollowed.complete || !lastObserved) {
       return status;
     }
     // Only what was observed counts, so the time is that of the observation.
-    const auto now = *lastObserved;
-    const bool leasesOver =
-      aFollowed.refusedSince && now - *aFollowed.refusedSince >= Bound();
+    const bool leasesOver = LeasesOver(aFollowed);
     WaitForWitnesses(aVersion, aFollowed, status.waiting);
     WaitForMembers(aVersion, aFollowed, leasesOver, status.waiting);
     if (aFollowed.refusedSince && !leasesOver) {
@@ -294,8 +367,6 @@
                       "possible grant",
                       std::chrono::ceil<milliseconds>(Bound()).count()) });
     }
-    status.complete = status.waiting.empty();
-    aFollowed.complete = status.complete;
     return status;
   }
 };
@@ -318,6 +389,10 @@
   mImpl->lastEpoch.reset();
   if (followed.size() > kFollowed) {
     followed.erase(followed.begin());
+    const auto lowest = followed.begin()->first;
+    std::erase_if(mImpl->counts, [&](const auto& aIt) {
+      return std::get<2>(aIt.first) < lowest;
+    });
   }
 }
 
@@ -333,14 +408,16 @@
   }
   impl.lastObserved = aNow;
   impl.maxSubrequest = std::max(impl.maxSubrequest, aInputs.maxSubrequest);
-  if (impl.lastEpoch && *impl.lastEpoch == aInputs.epoch &&
-      impl.witnessRevision == aInputs.rosterRevision) {
-    return;
+  if (!impl.lastEpoch || *impl.lastEpoch != aInputs.epoch ||
+      impl.witnessRevision != aInputs.rosterRevision) {
+    impl.lastEpoch = aInputs.epoch;
+    if (impl.TakeMembers(aInputs.members, aNow)) {
+      impl.witnessRevision = 0;
+    }
+    impl.TakeRoster(aInputs);
+    impl.Update(aNow);
   }
-  impl.lastEpoch = aInputs.epoch;
-  impl.TakeMembers(aInputs.members, aNow);
-  impl.TakeRoster(aInputs);
-  impl.Update(aNow);
+  impl.Complete();
 }
 
 void WithdrawalReport::SetCounts(const InstanceId& aInstance,
@@ -390,4 +467,9 @@
   return impl.Status(aVersion, it->second);
 }
 
+std::vector<ConfigVersion> WithdrawalReport::TakeCompleted()
+{
+  return std::exchange(mImpl->completed, {});
+}
+
 } // namespace bronzedeal::process
--- a/tests/process/withdrawal_report_test.cpp
+++ b/tests/process/withdrawal_report_test.cpp
@@ -75,8 +75,10 @@
   ASSERT_EQ(status.waiting.size(), 1U);
   EXPECT_EQ(status.waiting[0].reason, WaitReason::LeasesRunning);
   EXPECT_EQ(status.waiting[0].since, Ms(100));
+  EXPECT_TRUE(it.report.TakeCompleted().empty());
   status = it.At(2700);
   EXPECT_TRUE(status.complete);
+  EXPECT_EQ(it.report.TakeCompleted(), (std::vector<ConfigVersion>{ 2 }));
   EXPECT_TRUE(it.report.Evaluate(1, Ms(2700)).complete)
     << "includes lower ones";
   EXPECT_FALSE(it.report.Evaluate(3, Ms(2700)).complete);
