--- a/src/process/lease_holder.cpp
+++ b/src/process/lease_holder.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kPlanInterval = milliseconds(100);
 constexpr std::size_t kRoundsKept = 8;
 constexpr std::size_t kRanks = 3;
+// A fresh instance in a large fleet knows few others and takes itself for the
+// preferred owner of most slices; this bounds its requests until it knows more.
+constexpr std::size_t kNewPerPlan = 16;
 // A lost release only delays the next holder, so a few repetitions suffice.
 constexpr unsigned kReleaseRepeats = 3;
 constexpr std::size_t kMaxNotes = 256;
@@ -37,6 +40,8 @@
   std::uint64_t lastRequest = 0;
   TimePoint nextRequest;
   bool refusedAsHeld = false;
+  /// Since when there have been grants without a quorum.
+  std::optional<TimePoint> partialSince;
   /// Valid before this time while a quorum of grants stands.
   std::optional<TimePoint> until;
   bool drained = false;
@@ -195,6 +200,7 @@
     }
     if (aLease.state == LeaseState::Requesting) {
       aLease.state = LeaseState::Waiting;
+      aLease.partialSince.reset();
     }
     if (aLease.state == LeaseState::Waiting) {
       if (const auto ready = ReadyAt(aLease, aNow); ready && aNow >= *ready) {
@@ -337,6 +343,7 @@
       rankedEpoch = aInputs.candidateEpoch;
       rankedSlices.assign(aInputs.slices.begin(), aInputs.slices.end());
     }
+    std::size_t added = 0;
     for (auto& [slice, rank] : ranks) {
       const auto held = leases.find(slice);
       const bool announced =
@@ -347,11 +354,12 @@
       } else if (!rank.orphanSince) {
         rank.orphanSince = aNow;
       }
-      if (held != leases.end() || aInputs.leaving) {
+      if (held != leases.end() || aInputs.leaving || added == kNewPerPlan) {
         continue;
       }
       const auto [wanted, fallback] = Wants(rank, aNow);
       if (wanted) {
+        ++added;
         auto& lease = leases[slice];
         lease.fallback = fallback;
         lease.nextRequest = aNow;
@@ -398,6 +406,32 @@
     }
   }
 
+  // Partial grants of two requesters would exclude each other for ever. They
+  // are given back when another one holds the slice, and when they did not
+  // become a quorum within the duration of a lease: this instance may be cut
+  // off from the other witnesses, and another owner needs those that it
+  // reaches.
+  bool GivesBack(Lease& aLease, TimePoint aNow)
+  {
+    const bool refused = std::exchange(aLease.refusedAsHeld, false);
+    if (aLease.grants.empty()) {
+      aLease.partialSince.reset();
+      return false;
+    }
+    if (!aLease.partialSince) {
+      aLease.partialSince = aNow;
+    }
+    const bool stuck = aNow - *aLease.partialSince >= options.duration;
+    if (!refused && !stuck) {
+      return false;
+    }
+    aLease.partialSince.reset();
+    aLease.nextRequest =
+      aNow + (stuck ? Jitter(milliseconds(1000), milliseconds(3000))
+                    : Jitter(milliseconds(100), milliseconds(300)));
+    return true;
+  }
+
   void Request(const SliceId& aSlice,
                Lease& aLease,
                const LeaseInputs& aInputs,
@@ -407,18 +441,12 @@
     if (aNow < aLease.nextRequest) {
       return;
     }
-    if (aLease.state == LeaseState::Requesting && aLease.refusedAsHeld) {
-      // Partial grants of two requesters would exclude each other for ever.
-      aLease.refusedAsHeld = false;
-      if (!aLease.grants.empty()) {
-        Release(aSlice, aLease, WorkEnded(aSlice, aNow), aNow);
-        aLease.grants.clear();
-        // A grant that arrives after the release no longer stands.
-        aLease.rounds.clear();
-        aLease.nextRequest =
-          aNow + Jitter(milliseconds(100), milliseconds(300));
-        return;
-      }
+    if (aLease.state == LeaseState::Requesting && GivesBack(aLease, aNow)) {
+      Release(aSlice, aLease, WorkEnded(aSlice, aNow), aNow);
+      aLease.grants.clear();
+      // A grant that arrives after the release no longer stands.
+      aLease.rounds.clear();
+      return;
     }
     aLease.lastRequest = ++lastRequest;
     aLease.rounds[aLease.lastRequest] = aNow;
--- a/tests/process/world.cpp
+++ b/tests/process/world.cpp
@@ -176,6 +176,9 @@
       At(now + milliseconds(Below(1000)), [this, &it] { Start(it); });
     }
     const auto begin = now + kStartPhase;
+    At(begin, [this] {
+      cuts.insert(options.permanentCuts.begin(), options.permanentCuts.end());
+    });
     for (const auto& fault : options.faults) {
       At(begin + fault.at, [this, fault] { Begin(fault); });
       At(begin + std::min(fault.at + fault.length, options.faultsEnd),
--- a/tests/process/world.hpp
+++ b/tests/process/world.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bronzedeal::process {
@@ -61,6 +62,8 @@
   std::uint64_t seed = 1;
   Guard off = Guard::None;
   std::vector<Fault> faults;
+  /// Links, from and to, that are cut when the faults begin and stay so.
+  std::vector<std::pair<std::size_t, std::size_t>> permanentCuts;
   milliseconds faultsEnd{ 20000 };
   /// A slice must have an owner this long after the last fault. It is the sum
   /// of rejoining (3 s of contact, 0.5 s fence), a document (2 s), the fresh
--- a/tests/process/world_test.cpp
+++ b/tests/process/world_test.cpp
@@ -84,6 +84,25 @@
   }
 }
 
+// Guards against a slice that stays without an owner because the preferred one
+// is alive and reaches no quorum of witnesses.
+TEST(World, AnotherOwnerWhenThePreferredOneHasNoQuorum)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.instances = 6;
+    options.seed = seed;
+    for (const std::size_t peer : { 1, 2, 4 }) {
+      options.permanentCuts.emplace_back(0, peer);
+      options.permanentCuts.emplace_back(peer, 0);
+    }
+    // Only 3 of the 4 witnesses needed remain, and half of the list.
+    for (const auto& it : World(options).Run()) {
+      ADD_FAILURE() << "seed " << seed << ": " << it;
+    }
+  }
+}
+
 struct Control
 {
   Guard off;
