Measure takeovers; give up on overdue reads of the service

Cause: the time without an owner after a crash had no check; an answer that never comes would have kept a reader from reading for good.

--- a/include/bronzedeal/process/config_distributor.hpp
+++ b/include/bronzedeal/process/config_distributor.hpp
@@ -62,6 +62,8 @@
   Duration freshRead = milliseconds(1500);
   /// A former reader ends its read after this time, when the next has begun.
   Duration handOver = milliseconds(1000);
+  /// A read without an answer counts as failed this long after its wait.
+  Duration readOverdue = milliseconds(5000);
   /// Shortest time between two reads, for a service that answers at once.
   Duration readGap = milliseconds(200);
   /// A joining instance waits this long after it has reached a majority, or
@@ -118,7 +120,8 @@
   std::vector<Outgoing> messages;
   /// At most one read is open at a time; answered with `OnServiceAnswer`.
   std::optional<ServiceRead> read;
-  /// Ends the open read; the instance is no longer a reader.
+  /// Ends the open read: the instance is no longer a reader, or the answer is
+  /// overdue. An answer that still arrives must not be passed on.
   bool cancelRead = false;
   /// Documents to put in force, in rising order of version.
   std::vector<Configuration> accepted;
--- a/src/process/config_distributor.cpp
+++ b/src/process/config_distributor.cpp
@@ -224,6 +224,12 @@
                  const ConfigInputs& aInputs,
                  ConfigActions& aActions)
   {
+    if (reading &&
+        aNow - readStart >= options.serviceWait + options.readOverdue) {
+      reading = false;
+      aActions.cancelRead = true;
+      BackOff(aNow);
+    }
     if (IsReader(aInputs, aNow)) {
       notReaderSince.reset();
       if (!reading && (!nextRead || aNow >= *nextRead)) {
--- a/tests/process/config_distributor_test.cpp
+++ b/tests/process/config_distributor_test.cpp
@@ -257,6 +257,20 @@
   EXPECT_LE(reads, 20);
 }
 
+// Guards against a reader that stops for good when an answer is lost.
+TEST(ConfigDistributor, GivesUpOnAnOverdueRead)
+{
+  Distribution it;
+  it.Tick(0);
+  ASSERT_TRUE(it.actions.read);
+  it.Tick(29999);
+  EXPECT_FALSE(it.actions.cancelRead);
+  it.Tick(30000);
+  EXPECT_TRUE(it.actions.cancelRead);
+  it.Tick(30200);
+  EXPECT_TRUE(it.actions.read);
+}
+
 // Guards against a fresh or rejoining instance that acts before it knows the
 // highest version that a majority has.
 TEST(ConfigDistributor, JoinsWithTheHighestVersionHeard)
--- a/tests/process/world.cpp
+++ b/tests/process/world.cpp
@@ -122,6 +122,7 @@
   std::multiset<std::size_t> isolated;
   ConfigVersion complete = 0;
   std::map<SliceId, TimePoint> lastOwned;
+  Duration longestGap{ 0 };
   std::optional<TimePoint> lastReplace;
   std::uint64_t processes = 0;
   std::vector<std::string> violations;
@@ -411,6 +412,10 @@
         if (Local(it) >= until) {
           continue;
         }
+        if (const auto last = lastOwned.find(slice);
+            last != lastOwned.end() && now > TimePoint(kStartPhase)) {
+          longestGap = std::max(longestGap, now - last->second);
+        }
         lastOwned[slice] = now;
         const auto [other, fresh] = senders.emplace(slice, it.id);
         if (!fresh) {
@@ -781,6 +786,11 @@
   return impl.violations;
 }
 
+milliseconds World::LongestGap() const
+{
+  return std::chrono::duration_cast<milliseconds>(mImpl->longestGap);
+}
+
 const std::map<std::string, int>& World::Counts() const
 {
   return mImpl->counts;
--- a/tests/process/world.hpp
+++ b/tests/process/world.hpp
@@ -86,6 +86,9 @@
 
   /// What happened, so that a test can show that a run exercised something.
   [[nodiscard]] const std::map<std::string, int>& Counts() const;
+  /// The longest time for which a slice had no instance that may send to it,
+  /// after the start phase.
+  [[nodiscard]] milliseconds LongestGap() const;
 
 private:
   struct Impl;
--- a/tests/process/world_test.cpp
+++ b/tests/process/world_test.cpp
@@ -1,5 +1,8 @@
 #include "world.hpp"
 
+#include "bronzedeal/process/roster.hpp"
+
+#include <algorithm>
 #include <cstdlib>
 #include <gtest/gtest.h>
 #include <iostream>
@@ -103,6 +106,38 @@
   }
 }
 
+Fault At(int aAt, FaultKind aKind, int aLength, std::uint32_t aFirst = 0)
+{
+  return { aKind, milliseconds(aAt), milliseconds(aLength), aFirst, 0 };
+}
+
+// Guards against takeovers that take longer than lease expiry (1.5 s), former
+// work (1 s) and detection together (section 8). Detection is at most a round
+// of probes (1.6 s at 9 instances), the probe (0.5 s) and the suspicion (1 s).
+TEST(World, TakeoverTime)
+{
+  const std::vector<Candidate> candidates{ { "entry-0", "fd-0", "r1" },
+                                           { "entry-3", "fd-0", "r1" },
+                                           { "entry-6", "fd-0", "r1" } };
+  const auto owner = PreferredOwners({ "fd-0", 0 }, "r1", candidates).at(0);
+  const auto index = static_cast<std::uint32_t>(std::stoul(owner.substr(6)));
+  std::vector<milliseconds> gaps;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.faults = { At(3000, FaultKind::Crash, 17000, index) };
+    World world(options);
+    for (const auto& it : world.Run()) {
+      ADD_FAILURE() << "seed " << seed << ": " << it;
+    }
+    gaps.push_back(world.LongestGap());
+  }
+  std::sort(gaps.begin(), gaps.end());
+  std::cout << "no owner after a crash for " << gaps[10].count()
+            << " ms (median), " << gaps.back().count() << " ms (longest)\n";
+  EXPECT_LE(gaps.back(), milliseconds(1500 + 1000 + 3100));
+}
+
 struct Control
 {
   Guard off;
@@ -150,11 +185,6 @@
   EXPECT_GT(found, 0);
 }
 
-Fault At(int aAt, FaultKind aKind, int aLength, std::uint32_t aFirst = 0)
-{
-  return { aKind, milliseconds(aAt), milliseconds(aLength), aFirst, 0 };
-}
-
 INSTANTIATE_TEST_SUITE_P(
   Guards,
   WorldControl,
