--- a/tests/process/world.cpp
+++ b/tests/process/world.cpp
@@ -119,8 +119,10 @@
   double loss = 0;
   milliseconds delay{ 0 };
   std::multiset<std::pair<std::size_t, std::size_t>> cuts;
+  std::multiset<std::size_t> isolated;
   ConfigVersion complete = 0;
   std::map<SliceId, TimePoint> lastOwned;
+  Duration longestGap{ 0 };
   std::optional<TimePoint> lastReplace;
   std::uint64_t processes = 0;
   std::vector<std::string> violations;
@@ -175,6 +177,9 @@
       At(now + milliseconds(Below(1000)), [this, &it] { Start(it); });
     }
     const auto begin = now + kStartPhase;
+    At(begin, [this] {
+      cuts.insert(options.permanentCuts.begin(), options.permanentCuts.end());
+    });
     for (const auto& fault : options.faults) {
       At(begin + fault.at, [this, fault] { Begin(fault); });
       At(begin + std::min(fault.at + fault.length, options.faultsEnd),
@@ -234,7 +239,7 @@
     }
     LeaseOptions lease;
     if (options.off == Guard::LeaseMargin) {
-      lease.drift = -0.5;
+      lease.drift = -2.0;
     }
     MembershipOptions membership;
     membership.seed = options.seed;
@@ -407,6 +412,10 @@
         if (Local(it) >= until) {
           continue;
         }
+        if (const auto last = lastOwned.find(slice);
+            last != lastOwned.end() && now > TimePoint(kStartPhase)) {
+          longestGap = std::max(longestGap, now - last->second);
+        }
         lastOwned[slice] = now;
         const auto [other, fresh] = senders.emplace(slice, it.id);
         if (!fresh) {
@@ -480,11 +489,13 @@
   {
     std::erase_if(reads, [&](const Read& aRead) {
       const bool stale = serviceStale > 0 && published > 1;
-      if (serviceDown == 0 && !stale && aRead.after >= published) {
+      const bool reachable =
+        serviceDown == 0 && !isolated.contains(aRead.instance);
+      if (reachable && !stale && aRead.after >= published) {
         return false;
       }
       ServiceAnswer answer;
-      if (serviceDown == 0) {
+      if (reachable) {
         answer = { ServiceStatus::Document,
                    std::to_string(published - (stale ? 1 : 0)) };
       }
@@ -577,8 +588,15 @@
     SendAll(aIt, out);
   }
 
+  // Cuts an instance off from its peers and from the service.
   void CutAll(std::size_t aIndex, bool aCut)
   {
+    if (aCut) {
+      isolated.insert(aIndex);
+    } else {
+      isolated.erase(isolated.find(aIndex));
+    }
+    AnswerReads();
     for (std::size_t i = 0; i < instances.size(); ++i) {
       for (const auto& link :
            { std::pair{ i, aIndex }, std::pair{ aIndex, i } }) {
@@ -671,6 +689,7 @@
         break;
       case FaultKind::ServiceStale:
         ++serviceStale;
+        AnswerReads();
         break;
     }
   }
@@ -767,6 +786,11 @@
   return impl.violations;
 }
 
+milliseconds World::LongestGap() const
+{
+  return std::chrono::duration_cast<milliseconds>(mImpl->longestGap);
+}
+
 const std::map<std::string, int>& World::Counts() const
 {
   return mImpl->counts;
