--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -19,6 +19,7 @@
 #include <charconv>
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <thread>
 
@@ -47,10 +48,18 @@
   return (static_cast<Incarnation>(ms) << kRandomBits) | low;
 }
 
-std::uint64_t ParseNumber(const std::string& aText)
+/// The number in a query parameter, 0 when it is absent, nullopt when it is not
+/// a number.
+std::optional<std::uint64_t> NumberParameter(const HttpRequest& aRequest,
+                                             std::string_view aName)
 {
+  const auto text = QueryParameter(aRequest.queryString, aName);
   std::uint64_t n = 0;
-  std::from_chars(aText.data(), aText.data() + aText.size(), n);
+  const auto* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, n);
+  if (!text.empty() && (error != std::errc{} || rest != end)) {
+    return std::nullopt;
+  }
   return n;
 }
 
@@ -107,6 +116,7 @@
   void HandleCaller(HttpRequest aRequest, HttpReply aReply);
   void HandleAdmin(const HttpRequest& aRequest, const HttpReply& aReply);
   void HandleFault(const std::string& aBody, const HttpReply& aReply);
+  void HandleReport(const HttpRequest& aRequest, const HttpReply& aReply) const;
   void HandleExplain(const std::string& aBody, const HttpReply& aReply) const;
   void ApplyFaults(const FaultInjection& aFaults);
   void Tick(TimePoint aNow);
@@ -340,16 +350,8 @@
     control->State([aReply](std::string aBody) {
       aReply({ 200, std::move(aBody) });
     });
-  } else if (get && path == "/v1/audit") {
-    aReply({ 200,
-             WriteAudit(audit.After(
-               ParseNumber(QueryParameter(aRequest.queryString, "after")))) });
-  } else if (get && path == "/v1/withdrawal") {
-    control->Withdrawal(
-      ParseNumber(QueryParameter(aRequest.queryString, "version")),
-      [aReply](std::string aBody) {
-        aReply({ 200, std::move(aBody) });
-      });
+  } else if (get && (path == "/v1/audit" || path == "/v1/withdrawal")) {
+    HandleReport(aRequest, aReply);
   } else if (aRequest.method == "POST" && path == "/v1/explain") {
     HandleExplain(aRequest.body, aReply);
   } else if (aRequest.method == "POST" && path == "/v1/fault") {
@@ -359,6 +361,24 @@
   }
 }
 
+void Node::Impl::HandleReport(const HttpRequest& aRequest,
+                              const HttpReply& aReply) const
+{
+  const bool isAudit = aRequest.path == "/v1/audit";
+  const auto* name = isAudit ? "after" : "version";
+  const auto n = NumberParameter(aRequest, name);
+  if (!n) {
+    aReply(ErrorResponse(ResultCode::InvalidField,
+                         std::string(name) + " must be a number"));
+  } else if (isAudit) {
+    aReply({ 200, WriteAudit(audit.After(*n)) });
+  } else {
+    control->Withdrawal(*n, [aReply](std::string aBody) {
+      aReply({ 200, std::move(aBody) });
+    });
+  }
+}
+
 void Node::Impl::HandleExplain(const std::string& aBody,
                                const HttpReply& aReply) const
 {
