Keep the text that a parsed query string refers to

QueryParameter parsed a temporary string, so the view dangled and parameters were lost: GET /v1/withdrawal?version=2 reported on the version in force and said complete before version 2 was. Path tests also check that no instance ended by itself and restart killed instances at new addresses.

--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -53,8 +53,9 @@
 std::string QueryParameter(std::string_view aQueryString,
                            std::string_view aName)
 {
-  const auto url =
-    boost::urls::parse_origin_form("/?" + std::string(aQueryString));
+  // The parsed URL refers to the text.
+  const std::string text = "/?" + std::string(aQueryString);
+  const auto url = boost::urls::parse_origin_form(text);
   if (!url) {
     return {};
   }
--- a/tests/path/support.py
+++ b/tests/path/support.py
@@ -27,7 +27,12 @@
         self.cluster.wait_serving(timeout=15)
 
     def judge(self):
-        """Completes the histories; no guarantee may be broken."""
+        """Completes the histories; no guarantee may be broken.
+
+        No instance may have ended by itself either.
+        """
+        for name, process in self.cluster.instances.items():
+            self.assertTrue(process.running(), f"{name} ended by itself")
         self.cluster.stop_standins()
         history = check_history.History.read(self.cluster.histories())
         found = {name: it[:3] for name, it in
--- a/tests/path/test_instance_loss.py
+++ b/tests/path/test_instance_loss.py
@@ -25,6 +25,17 @@
         late = history.queries[-20:]
         self.assertEqual({0}, {it["code"] for it in late})
 
+    def test_kill_and_restart_at_a_new_address(self):
+        """An instance once crashed when a restarted peer connected."""
+        def disturb():
+            for name in ("entry-1", "entry-2"):
+                self.cluster.kill_instance(name)
+                time.sleep(0.5)
+                self.cluster.restart_instance(name)
+                time.sleep(3)
+        self.run_with(10, disturb)
+        self.cluster.wait_ready(timeout=5)
+
     def test_pause_and_resume(self):
         def disturb():
             self.cluster.pause_instance("entry-1")
--- a/tests/path/test_withdrawal.py
+++ b/tests/path/test_withdrawal.py
@@ -29,6 +29,13 @@
                 if it["fd"] == "fd-a" and it["t0"] > claimed]
         self.assertEqual([], late)
 
+    def test_version_that_is_not_in_force_is_not_complete(self):
+        """Instances once lost the query part and reported on their own."""
+        harness.wait_until(lambda: self.complete(1), 10, "first claim")
+        self.assertIsNone(self.complete(2))
+        answer = self.cluster.admin("entry-0", "/v1/withdrawal?version=2")[1]
+        self.assertEqual(2, answer["version"])
+
     def test_denied_caller_runs_nothing(self):
         address = self.cluster.entries["entry-0"]["http"]
         status, answer = harness.http("POST", address, "/v1/query", {
