Refuse control messages with values out of range

Cause: Decode read an unknown member status as dead, an unknown gossip kind as sync, an unknown lease answer as another refusal, and cut or filled up hashes of another size, although its documentation promised to refuse such messages; Encode let durations above 32 bits wrap round. Change: Decode refuses the whole message; Encode clamps durations.

--- a/include/bronzedeal/daemon/codec.hpp
+++ b/include/bronzedeal/daemon/codec.hpp
@@ -18,8 +18,8 @@
 /// transport.
 [[nodiscard]] peer::Envelope Encode(const process::Message& aMessage);
 
-/// The control message of an envelope; nullopt for other bodies and for values
-/// out of range.
+/// The control message of an envelope; nullopt for other bodies, for numbers
+/// out of range and for hashes of another size.
 [[nodiscard]] std::optional<process::Message> Decode(
   const peer::Envelope& aEnvelope);
 
--- a/include/bronzedeal/process/messages.hpp
+++ b/include/bronzedeal/process/messages.hpp
@@ -95,6 +95,8 @@
   /// acknowledgements.
   std::vector<Member> records;
   std::vector<ProgressGroup> progress;
+
+  bool operator==(const GossipMessage&) const = default;
 };
 
 /// Asks for the lease on a slice, or for its renewal.
@@ -108,6 +110,8 @@
   milliseconds duration{ 0 };
   /// The time for which work of the holder may run past the lease's end.
   milliseconds maxWork{ 0 };
+
+  bool operator==(const LeaseRequestMessage&) const = default;
 };
 
 enum class LeaseAnswer : std::uint8_t
@@ -132,6 +136,8 @@
   bool cleanHandover = false;
   /// Time until `cleanHandover` becomes true.
   milliseconds wait{ 0 };
+
+  bool operator==(const LeaseReplyMessage&) const = default;
 };
 
 struct LeaseReleaseMessage
@@ -142,12 +148,16 @@
   std::uint64_t requestId = 0;
   /// True when the holder's work on the slice has ended.
   bool clean = false;
+
+  bool operator==(const LeaseReleaseMessage&) const = default;
 };
 
 struct ConfigPullMessage
 {
   ConfigVersion haveVersion = 0;
   ConfigHash haveHash{};
+
+  bool operator==(const ConfigPullMessage&) const = default;
 };
 
 struct ConfigContentMessage
@@ -158,6 +168,8 @@
   /// document.
   ConfigVersion baseVersion = 0;
   std::string text;
+
+  bool operator==(const ConfigContentMessage&) const = default;
 };
 
 using Message = std::variant<GossipMessage,
--- a/src/daemon/codec.cpp
+++ b/src/daemon/codec.cpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/peer.pb.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bronzedeal::daemon {
 
@@ -15,18 +16,30 @@
   return { reinterpret_cast<const char*>(aHash.data()), aHash.size() };
 }
 
-ConfigHash Hash(std::string_view aBytes)
+/// False when the bytes are not a hash. No bytes stand for no hash.
+bool DecodeHash(std::string_view aBytes, ConfigHash& aOut)
 {
-  ConfigHash hash{};
-  const auto n = std::min(aBytes.size(), hash.size());
-  std::copy_n(aBytes.begin(), n, hash.begin());
-  return hash;
+  if (aBytes.size() == aOut.size()) {
+    std::copy(aBytes.begin(), aBytes.end(), aOut.begin());
+  }
+  return aBytes.empty() || aBytes.size() == aOut.size();
+}
+
+/// False when the number is above the last enumerator.
+template<typename Enum>
+bool DecodeEnum(std::uint32_t aNumber, Enum aLast, Enum& aOut)
+{
+  if (aNumber > static_cast<std::uint32_t>(aLast)) {
+    return false;
+  }
+  aOut = static_cast<Enum>(aNumber);
+  return true;
 }
 
 std::uint32_t Ms(milliseconds aValue)
 {
-  return static_cast<std::uint32_t>(
-    std::max<milliseconds::rep>(aValue.count(), 0));
+  return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(
+    aValue.count(), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
 template<typename Proto>
@@ -58,16 +71,17 @@
   aOut.set_oldest_active_version(aMember.oldestActiveVersion);
 }
 
-Member DecodeMember(const peer::MemberRecord& aIn)
+std::optional<Member> DecodeMember(const peer::MemberRecord& aIn)
 {
   Member member;
+  if (!DecodeEnum(aIn.status(), MemberStatus::Dead, member.status) ||
+      !DecodeHash(aIn.config_hash(), member.configHash)) {
+    return std::nullopt;
+  }
   member.id = aIn.id();
   member.incarnation = aIn.incarnation();
   member.sequence = aIn.sequence();
-  member.status =
-    static_cast<MemberStatus>(std::min<std::uint32_t>(aIn.status(), 3));
   member.configVersion = aIn.config_version();
-  member.configHash = Hash(aIn.config_hash());
   member.rosterRevision = aIn.roster_revision();
   member.fenced = aIn.fenced();
   for (const auto& it : aIn.slices()) {
@@ -149,23 +163,28 @@
   }
 };
 
-GossipMessage DecodeGossip(const peer::Gossip& aIn)
+std::optional<Message> DecodeGossip(const peer::Gossip& aIn)
 {
   GossipMessage message;
-  message.kind =
-    static_cast<GossipKind>(std::min<std::uint32_t>(aIn.kind(), 4));
+  if (!DecodeEnum(aIn.kind(), GossipKind::Sync, message.kind)) {
+    return std::nullopt;
+  }
   message.probe = aIn.probe();
   message.target = aIn.target();
   for (const auto& it : aIn.records()) {
-    message.records.push_back(DecodeMember(it));
+    auto member = DecodeMember(it);
+    if (!member) {
+      return std::nullopt;
+    }
+    message.records.push_back(std::move(*member));
   }
   for (const auto& it : aIn.progress()) {
-    if (it.members_size() != it.sequences_size()) {
-      continue;
-    }
     ProgressGroup group;
+    if (it.members_size() != it.sequences_size() ||
+        !DecodeHash(it.config_hash(), group.configHash)) {
+      return std::nullopt;
+    }
     group.configVersion = it.config_version();
-    group.configHash = Hash(it.config_hash());
     group.rosterRevision = it.roster_revision();
     group.oldestActiveVersion = it.oldest_active_version();
     group.members.assign(it.members().begin(), it.members().end());
@@ -187,13 +206,14 @@
   return message;
 }
 
-LeaseReplyMessage DecodeLeaseReply(const peer::LeaseReply& aIn)
+std::optional<Message> DecodeLeaseReply(const peer::LeaseReply& aIn)
 {
   LeaseReplyMessage message;
+  if (!DecodeEnum(aIn.answer(), LeaseAnswer::NotReady, message.answer)) {
+    return std::nullopt;
+  }
   message.slice = DecodeSlice(aIn);
   message.requestId = aIn.request_id();
-  message.answer =
-    static_cast<LeaseAnswer>(std::min<std::uint32_t>(aIn.answer(), 4));
   message.configVersion = aIn.config_version();
   message.rosterRevision = aIn.roster_revision();
   message.cleanHandover = aIn.clean_handover();
@@ -201,11 +221,22 @@
   return message;
 }
 
-ConfigContentMessage DecodeContent(const peer::ConfigContent& aIn)
+std::optional<Message> DecodePull(const peer::ConfigPull& aIn)
+{
+  ConfigPullMessage message{ aIn.have_version(), {} };
+  if (!DecodeHash(aIn.have_hash(), message.haveHash)) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+std::optional<Message> DecodeContent(const peer::ConfigContent& aIn)
 {
   ConfigContentMessage message;
+  if (!DecodeHash(aIn.hash(), message.hash)) {
+    return std::nullopt;
+  }
   message.version = aIn.version();
-  message.hash = Hash(aIn.hash());
   message.baseVersion = aIn.base_version();
   message.text = aIn.text();
   return message;
@@ -235,10 +266,8 @@
                                   in.request_id(),
                                   in.clean() };
     }
-    case peer::Envelope::kConfigPull: {
-      const auto& in = aEnvelope.config_pull();
-      return ConfigPullMessage{ in.have_version(), Hash(in.have_hash()) };
-    }
+    case peer::Envelope::kConfigPull:
+      return DecodePull(aEnvelope.config_pull());
     case peer::Envelope::kConfigContent:
       return DecodeContent(aEnvelope.config_content());
     default:
