Refuse instance lists with unknown states and repeated ids

Cause: an instance or server with any state but 'leaving' counted as live, and an id that occurred twice, or was empty, became two members of the roster. Change: such a list is malformed; the list in force stays.

--- a/include/bronzedeal/daemon/instance_list.hpp
+++ b/include/bronzedeal/daemon/instance_list.hpp
@@ -23,8 +23,9 @@
 };
 
 /// Parses the answer of `GET /v1/instances`; nullopt when a field is missing or
-/// has another type. Fields that are not known are ignored, since the platform
-/// may publish more.
+/// has another type, a state is neither `live` nor `leaving`, or an instance's
+/// id is empty or occurs twice. Fields that are not known are ignored, since
+/// the platform may publish more.
 [[nodiscard]] std::optional<InstanceList> ParseInstanceList(
   std::string_view aText);
 
--- a/src/daemon/instance_list.cpp
+++ b/src/daemon/instance_list.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value_to.hpp>
+#include <stdexcept>
 
 namespace bronzedeal::daemon {
 
@@ -14,12 +15,21 @@
   return json::value_to<std::string>(aObject.at(aKey));
 }
 
+bool Leaving(const json::object& aObject)
+{
+  const auto state = Text(aObject, "state");
+  if (state != "live" && state != "leaving") {
+    throw std::invalid_argument("state");
+  }
+  return state == "leaving";
+}
+
 process::RosterEntry ParseInstance(const json::value& aValue)
 {
   const auto& object = aValue.as_object();
   return { Text(object, "id"),     Text(object, "http"),
            Text(object, "peer"),   Text(object, "failure_domain"),
-           Text(object, "region"), Text(object, "state") == "leaving" };
+           Text(object, "region"), Leaving(object) };
 }
 
 InstanceList Parse(const json::value& aValue)
@@ -27,8 +37,13 @@
   const auto& object = aValue.as_object();
   InstanceList list;
   list.revision = object.at("revision").to_number<RosterRevision>();
+  std::set<InstanceId> ids;
   for (const auto& it : object.at("instances").as_array()) {
     list.instances.push_back(ParseInstance(it));
+    const auto& id = list.instances.back().id;
+    if (id.empty() || !ids.insert(id).second) {
+      throw std::invalid_argument("id");
+    }
     if (const auto* admin = it.as_object().if_contains("admin")) {
       list.adminAddresses.emplace(list.instances.back().id,
                                   json::value_to<std::string>(*admin));
@@ -37,7 +52,7 @@
   const auto* servers = object.if_contains("servers");
   if (servers != nullptr) {
     for (const auto& it : servers->as_array()) {
-      if (Text(it.as_object(), "state") == "leaving") {
+      if (Leaving(it.as_object())) {
         list.leavingServers.insert(Text(it.as_object(), "id"));
       }
     }
