Keep the text of a query string while its parameters are read

Cause: QueryParameter parsed a temporary string and read the parsed view after its end; GET /v1/addresses?customer=X could see no customer. Change: the text is kept in a variable.

--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -53,8 +53,9 @@
 std::string QueryParameter(std::string_view aQueryString,
                            std::string_view aName)
 {
-  const auto url =
-    boost::urls::parse_origin_form("/?" + std::string(aQueryString));
+  // The parsed view refers to the text.
+  const auto target = "/?" + std::string(aQueryString);
+  const auto url = boost::urls::parse_origin_form(target);
   if (!url) {
     return {};
   }
--- a/tests/connection/http_stand_in.hpp
+++ b/tests/connection/http_stand_in.hpp
@@ -21,7 +21,8 @@
 namespace bronzedeal::connection {
 
 /// A backend server of the tests. It answers a request with its own body,
-/// closes the connection instead (`/close`), or answers when told to (`/hold`).
+/// closes the connection instead (`/close` in the target), answers when told to
+/// (`/hold`), or refuses (`/refuse`).
 class HttpStandIn
 {
 public:
@@ -92,14 +93,17 @@
         mRequests.push_back(std::string(request.method_string()) + " " +
                             std::string(request.target()));
       }
-      if (request.target() == "/close") {
+      if (request.target().find("/close") != std::string_view::npos) {
         break;
       }
-      if (request.target() == "/hold" && !mReleased) {
+      if (request.target().find("/hold") != std::string_view::npos &&
+          !mReleased) {
         co_await mGate.async_wait(token);
       }
       http::response<http::string_body> answer;
-      answer.result(request.target() == "/refuse" ? 503 : 200);
+      const bool refused =
+        request.target().find("/refuse") != std::string_view::npos;
+      answer.result(refused ? 503 : 200);
       answer.set("x-outcome", "not-run");
       answer.body() = std::move(request.body());
       answer.prepare_payload();
