Test the owner's executor and the attempt router

Cause: neither had a test of its own; only whole processes covered them. Change: each cause of a refused send is tested on arrival and when the turn of a queued attempt comes; truthful outcomes, lost and foreign responses.

--- /dev/null
+++ b/tests/daemon/owner_executor_test.cpp
@@ -0,0 +1,140 @@
+#include "support.hpp"
+
+#include "bronzedeal/version/snapshot.hpp"
+
+namespace bronzedeal::daemon {
+namespace {
+
+constexpr const char* kShard0 = "POST /v1/shards/shard-0/search";
+
+struct Cause
+{
+  const char* name;
+  void (*apply)(Owner&);
+  ResultCode code;
+};
+
+void PrintTo(const Cause& aCause, std::ostream* aOut)
+{
+  *aOut << aCause.name;
+}
+
+/// The causes for which an owner must not send.
+const Cause kCauses[] = {
+  { "lease_expired",
+    [](Owner& aOwner) {
+      aOwner.leases.Publish({ { aOwner.Slice(), TimePoint{} } });
+    },
+    ResultCode::NotRunNoOwner },
+  { "no_lease",
+    [](Owner& aOwner) { aOwner.leases.Publish({}); },
+    ResultCode::NotRunNoOwner },
+  { "server_held",
+    [](Owner& aOwner) { aOwner.leases.Hold({ "svc-a" }); },
+    ResultCode::NotRunNoOwner },
+  { "withdrawn",
+    [](Owner& aOwner) {
+      auto document = OneServer(2, "127.0.0.1:1");
+      document.failureDomains["fd-a"].labels["state"] = "out";
+      aOwner.PutInForce(std::move(document));
+    },
+    ResultCode::NotRunWithdrawn },
+  { "quarantined",
+    [](Owner& aOwner) { aOwner.quarantined = true; },
+    ResultCode::NotRunQuarantined },
+  { "leaving",
+    [](Owner& aOwner) { aOwner.executor.SetLeaving({ "svc-a" }); },
+    ResultCode::NotRunLeaving },
+};
+
+class RefusedSend : public testing::TestWithParam<Cause>
+{};
+
+// Guards against new work on a server that this instance may not use.
+TEST_P(RefusedSend, OnArrival)
+{
+  HttpStandIn server;
+  Owner owner(server.Address());
+  GetParam().apply(owner);
+  EXPECT_EQ(GetParam().code, owner.Execute(1, "shard-0").get().code);
+  EXPECT_TRUE(server.Requests().empty());
+  EXPECT_EQ(0U, owner.ledger.Total());
+}
+
+// Guards against a check at admission only: the cause arises while the attempt
+// waits for a slot.
+TEST_P(RefusedSend, WhenItsTurnComes)
+{
+  HttpStandIn server;
+  Owner owner(server.Address());
+  auto running = owner.Execute(1, "hold");
+  WaitFor([&] { return server.Requests().size() == 1; });
+  auto queued = owner.Execute(2, "shard-0");
+  GetParam().apply(owner);
+  server.Release();
+  EXPECT_EQ(ResultCode::Ok, running.get().code);
+  EXPECT_EQ(GetParam().code, queued.get().code);
+  EXPECT_EQ(1U, server.Requests().size());
+  WaitFor([&] { return owner.ledger.Total() == 0; });
+}
+
+INSTANTIATE_TEST_SUITE_P(Owner,
+                         RefusedSend,
+                         testing::ValuesIn(kCauses),
+                         [](const auto& aInfo) { return aInfo.param.name; });
+
+// Guards against "not run" for work that a server may have received, and
+// against "unknown" for work that it refused.
+TEST(OwnerExecutor, ReportsTruthfullyWhatRan)
+{
+  HttpStandIn server;
+  Owner owner(server.Address());
+  EXPECT_EQ(ResultCode::Ok, owner.Execute(1, "shard-0").get().code);
+  EXPECT_EQ(ResultCode::ShardServerLost, owner.Execute(2, "close").get().code);
+  EXPECT_EQ(ResultCode::OutcomeUnknown,
+            owner.Execute(3, "close", true).get().code);
+  EXPECT_EQ(ResultCode::NotRunShed,
+            owner.Execute(4, "refuse", true).get().code);
+  EXPECT_EQ(2, owner.crashes);
+}
+
+// Guards against a server that can't be reached and is reported as lost.
+TEST(OwnerExecutor, UnreachableServerIsNotRun)
+{
+  std::string address;
+  {
+    const HttpStandIn gone;
+    address = gone.Address();
+  }
+  Owner owner(address);
+  const auto code =
+    owner.Execute(1, "shard-0", true, milliseconds(100)).get().code;
+  EXPECT_TRUE(IsNotRun(code)) << static_cast<int>(code);
+}
+
+// Guards against queued work that is sent after its caller gave up, and
+// against a refusal of what was sent.
+TEST(OwnerExecutor, RefusesQueuedAttempts)
+{
+  HttpStandIn server;
+  Owner owner(server.Address());
+  auto running = owner.Execute(1, "hold");
+  WaitFor([&] { return server.Requests().size() == 1; });
+  auto cancelled = owner.Execute(2, "shard-0");
+  auto late = owner.Execute(3, "shard-0", false, milliseconds(50));
+  auto withdrawn = owner.Execute(4, "shard-0");
+  owner.executor.Cancel(Owner::Key(2));
+  EXPECT_EQ(ResultCode::NotRunCancelled, cancelled.get().code);
+  EXPECT_EQ(ResultCode::NotRunDeadline, late.get().code);
+  auto document = OneServer(2, server.Address());
+  document.services["svc"].servers.clear();
+  owner.PutInForce(std::move(document));
+  owner.Lease({});
+  EXPECT_EQ(ResultCode::NotRunWithdrawn, withdrawn.get().code);
+  server.Release();
+  EXPECT_EQ(ResultCode::Ok, running.get().code);
+  EXPECT_EQ(1U, server.Requests().size());
+}
+
+} // namespace
+} // namespace bronzedeal::daemon
--- /dev/null
+++ b/tests/daemon/router_test.cpp
@@ -0,0 +1,159 @@
+#include "bronzedeal/daemon/attempt_router.hpp"
+#include "bronzedeal/peer.pb.h"
+#include "support.hpp"
+
+#include <map>
+#include <mutex>
+
+namespace bronzedeal::daemon {
+namespace {
+
+using request::AttemptId;
+
+/// A router of `entry-0` whose slices 0 and 1 belong to itself and `owner-1`;
+/// `owner-1` records what arrives there and answers nothing.
+class RouterTest : public testing::Test
+{
+protected:
+  RouterTest()
+    : mRemote({ .self = "owner-1", .incarnation = 1 })
+    , mTransport({ .self = "entry-0", .incarnation = 7 })
+  {
+    mRemote.SetHandler([this](peer::Envelope&& aEnvelope) {
+      const std::lock_guard lock(mMutex);
+      mReceived.push_back(std::move(aEnvelope));
+    });
+    const auto port = mRemote.Listen("127.0.0.1:0");
+    mTransport.SetPeers(
+      { { "owner-1", "127.0.0.1:" + std::to_string(port.value()) } });
+    auto view = std::make_shared<FleetView>();
+    view->owners = { { { "fd-a", 0 }, "entry-0" },
+                     { { "fd-a", 1 }, "owner-1" },
+                     { { "fd-a", 2 }, "unlisted" } };
+    mFleet.Store(std::move(view));
+    mContext->payload = std::make_shared<const std::string>("{}");
+    mContext->deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(60);
+  }
+
+  std::unique_ptr<AttemptRouter> MakeRouter(Incarnation aIncarnation)
+  {
+    auto router = std::make_unique<AttemptRouter>("entry-0",
+                                                  aIncarnation,
+                                                  mFleet,
+                                                  mOwner.executor,
+                                                  mTransport,
+                                                  mOwner.ledger,
+                                                  mMetrics);
+    router->SetResultHandler([this](AttemptId aAttempt, OwnerResult aResult) {
+      const std::lock_guard lock(mMutex);
+      mResults[aAttempt].push_back(aResult.code);
+    });
+    return router;
+  }
+
+  void Send(AttemptRouter& aRouter, AttemptId aAttempt, std::uint32_t aSlice)
+  {
+    const RoutedAttempt routed{
+      aAttempt, "shard-0", "svc-a", { "fd-a", aSlice }, false
+    };
+    aRouter.Send(mContext, { &routed, 1 }, false);
+  }
+
+  /// The attempt number of the n-th message that `owner-1` received.
+  AttemptId NumberAt(std::size_t aMessage)
+  {
+    WaitFor([&] {
+      const std::lock_guard lock(mMutex);
+      return mReceived.size() > aMessage;
+    });
+    const std::lock_guard lock(mMutex);
+    const auto& envelope = mReceived[aMessage];
+    return envelope.has_cancel_sub_request()
+             ? envelope.cancel_sub_request().attempt_ids(0)
+             : envelope.sub_request_batch().items(0).attempt_id();
+  }
+
+  static void Answer(AttemptRouter& aRouter,
+                     const InstanceId& aFrom,
+                     AttemptId aNumber)
+  {
+    peer::SubResponse response;
+    response.set_attempt_id(aNumber);
+    aRouter.OnResponse(aFrom, std::move(response));
+  }
+
+  HttpStandIn mServer;
+  Owner mOwner{ mServer.Address() };
+  process::Metrics mMetrics;
+  FleetViewHolder mFleet;
+  std::shared_ptr<AttemptContext> mContext = std::make_shared<AttemptContext>();
+  std::mutex mMutex;
+  std::vector<peer::Envelope> mReceived;
+  std::map<AttemptId, std::vector<ResultCode>> mResults;
+  connection::PeerTransport mRemote;
+  connection::PeerTransport mTransport;
+  std::unique_ptr<AttemptRouter> mRouter = MakeRouter(7);
+};
+
+// Guards against an attempt that nobody owns and that is reported as lost, or
+// not at all.
+TEST_F(RouterTest, AttemptWithoutAnOwnerIsNotRun)
+{
+  Send(*mRouter, 1, 3);
+  Send(*mRouter, 2, 2);
+  EXPECT_EQ(std::vector{ ResultCode::NotRunNoOwner }, mResults[1]);
+  EXPECT_EQ(std::vector{ ResultCode::NotRunNoOwner }, mResults[2]);
+  EXPECT_EQ(0U, mRouter->Outstanding());
+  EXPECT_EQ(0U, mOwner.ledger.Total());
+}
+
+// Guards against a late or foreign response that answers another attempt.
+TEST_F(RouterTest, IgnoresResponsesToUnknownAttempts)
+{
+  Send(*mRouter, 1, 1);
+  const auto number = NumberAt(0);
+  Answer(*mRouter, "owner-1", number + 1);
+  Answer(*mRouter, "owner-2", number);
+  EXPECT_TRUE(mResults.empty());
+  Answer(*mRouter, "owner-1", number);
+  Answer(*mRouter, "owner-1", number);
+  EXPECT_EQ(std::vector{ ResultCode::Ok }, mResults[1]);
+  EXPECT_EQ(3, mMetrics.Value(process::Counter::LateResponses));
+}
+
+// Guards against "not run" for a request that the owner may have run.
+TEST_F(RouterTest, LostResponsesAreUnknown)
+{
+  Send(*mRouter, 1, 1);
+  mContext = std::make_shared<AttemptContext>(*mContext);
+  mContext->nonRepeatable = true;
+  Send(*mRouter, 2, 1);
+  mRouter->OnBreak("owner-2");
+  EXPECT_TRUE(mResults.empty());
+  mRouter->OnBreak("owner-1");
+  EXPECT_EQ(std::vector{ ResultCode::ShardServerLost }, mResults[1]);
+  EXPECT_EQ(std::vector{ ResultCode::OutcomeUnknown }, mResults[2]);
+  Send(*mRouter, 3, 1);
+  mRouter->Expire(mContext->deadline);
+  EXPECT_EQ(1U, mRouter->Outstanding());
+  mRouter->Expire(mContext->deadline + std::chrono::seconds(1));
+  EXPECT_EQ(std::vector{ ResultCode::OutcomeUnknown }, mResults[3]);
+}
+
+// Guards against a cancellation that names another attempt, and against one
+// that ends the count of work before the owner has confirmed the end.
+TEST_F(RouterTest, CancelNamesTheAttemptAndKeepsItsCount)
+{
+  Send(*mRouter, 1, 1);
+  const AttemptId attempt = 1;
+  mRouter->Cancel({ &attempt, 1 });
+  EXPECT_EQ(NumberAt(0), NumberAt(1));
+  ASSERT_EQ(1U, mOwner.ledger.Counts().size());
+  EXPECT_EQ(version::WorkKind::Unconfirmed, mOwner.ledger.Counts()[0].kind);
+  Answer(*mRouter, "owner-1", NumberAt(0));
+  EXPECT_EQ(0U, mOwner.ledger.Total());
+}
+
+} // namespace
+} // namespace bronzedeal::daemon
