Check the lease on the slice of the version in force

Cause: an agent with work in flight kept the slice of an earlier version when only slices_per_domain changed, so the lease on the former slice, which another group of servers uses, still allowed sends; the check also read the agent's slice without its lock. Result: the new test was answered Ok instead of NotRunNoOwner before and passes now.

--- a/src/daemon/server_agent.cpp
+++ b/src/daemon/server_agent.cpp
@@ -157,14 +157,20 @@
 ResultCode ServerAgent::Check(const Attempt& aAttempt, TimePoint aNow) const
 {
   const auto& context = *aAttempt.request.context;
-  if (!mEnvironment.leases.MaySend(mServer.slice, aNow) ||
-      mEnvironment.leases.Held(mServer.id)) {
+  const auto snapshot = mEnvironment.snapshots.Load();
+  // The slice of the version in force: the guard runs without the lock, and
+  // `mServer` follows a new version only at the next `Update`.
+  const auto* server = snapshot->FindServer(aAttempt.request.server);
+  if (server == nullptr) {
+    return ResultCode::NotRunWithdrawn;
+  }
+  if (!mEnvironment.leases.MaySend(server->slice, aNow) ||
+      mEnvironment.leases.Held(server->id)) {
     return ResultCode::NotRunNoOwner;
   }
   if (aNow >= context.deadline) {
     return ResultCode::NotRunDeadline;
   }
-  const auto snapshot = mEnvironment.snapshots.Load();
   if (!snapshot->Permits(context.caller,
                          context.request,
                          aAttempt.request.shard,
@@ -496,8 +502,9 @@
   {
     const std::lock_guard lock(mMutex);
     const bool moved = aServer.address != mServer.address;
-    if (mServer.limits != aServer.limits || moved) {
-      mServer = aServer;
+    const bool limited = aServer.limits != mServer.limits;
+    mServer = aServer;
+    if (limited || moved) {
       mLimiter.SetOptions(LimiterOptions(), aNow);
       if (mPool && !moved) {
         const auto options = PoolOptions();
--- a/tests/daemon/owner_executor_test.cpp
+++ b/tests/daemon/owner_executor_test.cpp
@@ -136,5 +136,28 @@
   EXPECT_EQ(1U, server.Requests().size());
 }
 
+// Guards against two senders to one server: a document that moves the server to
+// another slice leaves the lease on its former slice in place.
+TEST(OwnerExecutor, FollowsAServerToAnotherSlice)
+{
+  HttpStandIn server;
+  Owner owner(server.Address());
+  const auto former = owner.Slice();
+  auto running = owner.Execute(1, "hold");
+  WaitFor([&] { return server.Requests().size() == 1; });
+  auto document = OneServer(2, server.Address());
+  while (SliceOf("svc-a", "fd-a", document.slicesPerDomain) == former) {
+    ++document.slicesPerDomain;
+  }
+  owner.PutInForce(std::move(document));
+  owner.Lease({ former });
+  auto refused = owner.Execute(2, "shard-0");
+  server.Release();
+  EXPECT_EQ(ResultCode::Ok, running.get().code);
+  EXPECT_EQ(ResultCode::NotRunNoOwner, refused.get().code);
+  owner.Lease({ owner.Slice() });
+  EXPECT_EQ(ResultCode::Ok, owner.Execute(3, "shard-0").get().code);
+}
+
 } // namespace
 } // namespace bronzedeal::daemon
