--- a/tests/daemon/http_server_test.cpp
+++ b/tests/daemon/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "bronzedeal/daemon/http_server.hpp"
 #include "support.hpp"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -70,7 +71,10 @@
                 }
                 mHeld.set_value(std::move(aReply));
               })
-    , mThread([this] { mContext.run(); })
+    , mThread([this] {
+      const auto guard = asio::make_work_guard(mContext);
+      mContext.run();
+    })
   {
   }
   ~HttpServerTest() override
