Take the limit of unconfirmed attempts from the document at once

Cause: a new agent assumed max_subrequest_ms = 1000 until its first update; a connection pool opened before kept that limit, so a cancelled attempt lost its slot after 1 s although its server could still be working on it.

--- a/src/daemon/server_agent.cpp
+++ b/src/daemon/server_agent.cpp
@@ -99,6 +99,8 @@
                          TimePoint aNow)
   : mEnvironment(aEnvironment)
   , mServer(aServer)
+  , mMaxSubrequest(
+      aEnvironment.snapshots.Load()->Content().limits.maxSubrequest)
   , mLimiter(LimiterOptions(), aNow)
   , mQueue(aEnvironment.snapshots.Load()->Content().limits.queuePerServer)
 {
--- a/src/daemon/server_agent.hpp
+++ b/src/daemon/server_agent.hpp
@@ -102,7 +102,7 @@
   AgentEnvironment& mEnvironment;
   mutable std::mutex mMutex;
   version::ServerInfo mServer;
-  milliseconds mMaxSubrequest{ 1000 };
+  milliseconds mMaxSubrequest;
   connection::ServerLimiter mLimiter;
   connection::ServerQueue mQueue;
   std::shared_ptr<connection::ServerPool> mPool;
--- a/tests/daemon/owner_executor_test.cpp
+++ b/tests/daemon/owner_executor_test.cpp
@@ -159,5 +159,32 @@
   EXPECT_EQ(ResultCode::Ok, owner.Execute(3, "shard-0").get().code);
 }
 
+// Guards against more work on a server than its slots allow: the server may
+// still run what was cancelled.
+TEST(OwnerExecutor, CancelledAttemptKeepsItsSlot)
+{
+  HttpStandIn server;
+  Owner owner(server.Address());
+  auto cancelled = owner.Execute(1, "hold");
+  WaitFor([&] { return server.Requests().size() == 1; });
+  owner.executor.Cancel(Owner::Key(1));
+  EXPECT_EQ(ResultCode::ShardCancelled, cancelled.get().code);
+  auto next = owner.Execute(2, "shard-0");
+  // The cancellation has reached the server; it still holds the request.
+  WaitFor([&] { return server.Requests().size() == 2; });
+  EXPECT_EQ(1U, owner.executor.InFlight());
+  EXPECT_FALSE(owner.executor.Idle(owner.Slice()));
+  const auto counts = owner.ledger.Counts();
+  EXPECT_TRUE(std::any_of(counts.begin(), counts.end(), [](const auto& aCount) {
+    return aCount.kind == version::WorkKind::Unconfirmed && aCount.count == 1;
+  }));
+  // Longer than the default of `max_subrequest_ms`; the document says more.
+  EXPECT_EQ(std::future_status::timeout, next.wait_for(milliseconds(1200)));
+  server.Release();
+  EXPECT_EQ(ResultCode::Ok, next.get().code);
+  EXPECT_EQ(kShard0, server.Requests().at(2));
+  WaitFor([&] { return owner.executor.Idle(owner.Slice()); });
+}
+
 } // namespace
 } // namespace bronzedeal::daemon
