Run an attempt whose key arrives twice only once

Cause: a batch that named an attempt twice put both into the tables under one key; the end of the first removed the key and the second's lookup threw std::out_of_range, which ended the process. Change: Execute ignores an attempt whose key it still holds. Result: the new test ended the test program before and passes now.

--- a/include/bronzedeal/daemon/owner_executor.hpp
+++ b/include/bronzedeal/daemon/owner_executor.hpp
@@ -67,7 +67,7 @@
 class OwnerExecutor
 {
 public:
-  /// Called once, from any thread, never inside `Execute`'s locks.
+  /// Called at most once, from any thread, never inside `Execute`'s locks.
   using Handler = std::function<void(OwnerResult)>;
 
   struct Hooks
@@ -92,6 +92,8 @@
   OwnerExecutor(const OwnerExecutor&) = delete;
   OwnerExecutor& operator=(const OwnerExecutor&) = delete;
 
+  /// Ignores an attempt whose key is queued, in flight or unconfirmed: it would
+  /// run twice.
   void Execute(OwnerAttempt aAttempt, Handler aHandler);
   /// Drops a queued attempt or cancels one that was sent.
   void Cancel(const AttemptKey& aKey);
--- a/src/daemon/server_agent.cpp
+++ b/src/daemon/server_agent.cpp
@@ -193,6 +193,9 @@
   Deferred deferred;
   {
     const std::lock_guard lock(mMutex);
+    if (mByKey.contains(aAttempt.key)) {
+      return;
+    }
     const auto now = SteadyClock::now();
     auto attempt = std::make_shared<Attempt>();
     attempt->request = std::move(aAttempt);
--- a/tests/daemon/owner_executor_test.cpp
+++ b/tests/daemon/owner_executor_test.cpp
@@ -186,5 +186,21 @@
   WaitFor([&] { return owner.executor.Idle(owner.Slice()); });
 }
 
+// Guards against an attempt that arrives twice and runs twice, and against the
+// bookkeeping of one that ends that of the other.
+TEST(OwnerExecutor, RunsAKeyOnce)
+{
+  HttpStandIn server;
+  Owner owner(server.Address());
+  auto first = owner.Execute(1, "hold");
+  WaitFor([&] { return server.Requests().size() == 1; });
+  const auto again = owner.Execute(1, "shard-0");
+  server.Release();
+  EXPECT_EQ(ResultCode::Ok, first.get().code);
+  EXPECT_EQ(ResultCode::Ok, owner.Execute(2, "shard-0").get().code);
+  EXPECT_EQ(2U, server.Requests().size());
+  WaitFor([&] { return owner.executor.Idle(owner.Slice()); });
+}
+
 } // namespace
 } // namespace bronzedeal::daemon
