Clamp the times that peers state

Cause: the microseconds of a batch or a response were converted to the clock's nanoseconds unchecked; a large number overflowed to a deadline in the past or a negative latency in the digests. Change: at most one hour is accepted, which exceeds any deadline. Result: the new test did not reach the server before and passes now.

--- a/src/daemon/attempt_router.cpp
+++ b/src/daemon/attempt_router.cpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/daemon/codec.hpp"
 #include "bronzedeal/peer.pb.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <unordered_map>
@@ -18,6 +19,16 @@
 // A response may arrive this long after the deadline; a lost one is given up.
 constexpr milliseconds kResponseGrace{ 250 };
 
+// Longer than any deadline, and far from an overflow of the clock's type.
+constexpr std::chrono::microseconds kLongestTime = std::chrono::hours(1);
+
+/// A time that a peer states.
+std::chrono::microseconds TimeOf(std::uint64_t aMicroseconds)
+{
+  return std::chrono::microseconds(
+    std::min(aMicroseconds, static_cast<std::uint64_t>(kLongestTime.count())));
+}
+
 std::uint64_t RemainingUs(TimePoint aDeadline)
 {
   const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -52,8 +63,7 @@
   auto context = std::make_shared<AttemptContext>();
   context->configVersion = aBatch.config_version();
   context->indexVersion = aBatch.index_version();
-  context->deadline =
-    SteadyClock::now() + std::chrono::microseconds(aBatch.remaining_us());
+  context->deadline = SteadyClock::now() + TimeOf(aBatch.remaining_us());
   context->caller.insert(aBatch.caller().begin(), aBatch.caller().end());
   context->request.insert(aBatch.request().begin(), aBatch.request().end());
   context->payload = std::make_shared<const std::string>(aBatch.payload());
@@ -316,7 +326,7 @@
   result.code = static_cast<ResultCode>(aResponse.code());
   result.body = std::move(*aResponse.mutable_body());
   result.load = Decode(aResponse.load());
-  result.elapsed = std::chrono::microseconds(aResponse.elapsed_us());
+  result.elapsed = TimeOf(aResponse.elapsed_us());
   mImpl->handler(aResponse.attempt_id(), std::move(result));
 }
 
--- a/tests/daemon/router_test.cpp
+++ b/tests/daemon/router_test.cpp
@@ -2,6 +2,7 @@
 #include "bronzedeal/peer.pb.h"
 #include "support.hpp"
 
+#include <limits>
 #include <map>
 #include <mutex>
 
@@ -48,6 +49,7 @@
     router->SetResultHandler([this](AttemptId aAttempt, OwnerResult aResult) {
       const std::lock_guard lock(mMutex);
       mResults[aAttempt].push_back(aResult.code);
+      mElapsed = aResult.elapsed;
     });
     return router;
   }
@@ -69,9 +71,13 @@
     });
     const std::lock_guard lock(mMutex);
     const auto& envelope = mReceived[aMessage];
-    return envelope.has_cancel_sub_request()
-             ? envelope.cancel_sub_request().attempt_ids(0)
-             : envelope.sub_request_batch().items(0).attempt_id();
+    if (envelope.has_cancel_sub_request()) {
+      return envelope.cancel_sub_request().attempt_ids(0);
+    }
+    if (envelope.has_sub_response()) {
+      return envelope.sub_response().attempt_id();
+    }
+    return envelope.sub_request_batch().items(0).attempt_id();
   }
 
   static void Answer(AttemptRouter& aRouter,
@@ -91,6 +97,7 @@
   std::mutex mMutex;
   std::vector<peer::Envelope> mReceived;
   std::map<AttemptId, std::vector<ResultCode>> mResults;
+  Duration mElapsed{ -1 };
   connection::PeerTransport mRemote;
   connection::PeerTransport mTransport;
   std::unique_ptr<AttemptRouter> mRouter = MakeRouter(7);
@@ -155,5 +162,33 @@
   EXPECT_EQ(0U, mOwner.ledger.Total());
 }
 
+// Guards against times that overflow to a deadline in the past, or to a
+// negative latency that enters the digests.
+TEST_F(RouterTest, ClampsTimesOfPeers)
+{
+  peer::SubRequestBatch batch;
+  batch.set_config_version(1);
+  batch.set_index_version(3);
+  batch.set_remaining_us(std::numeric_limits<std::uint64_t>::max() / 1024);
+  (*batch.mutable_caller())["customer"] = "gaonsan";
+  (*batch.mutable_request())["kind"] = "search";
+  batch.set_fingerprint(std::string(16, 'x'));
+  batch.set_payload("{}");
+  auto& item = *batch.add_items();
+  item.set_attempt_id(9);
+  item.set_shard("shard-0");
+  item.set_server("svc-a");
+  mRouter->OnBatch("owner-1", 1, batch);
+  WaitFor([&] { return mServer.Requests().size() == 1; });
+  Send(*mRouter, 1, 1);
+  const auto number = NumberAt(0) == 9 ? NumberAt(1) : NumberAt(0);
+  peer::SubResponse response;
+  response.set_attempt_id(number);
+  response.set_elapsed_us(std::numeric_limits<std::uint64_t>::max());
+  mRouter->OnResponse("owner-1", std::move(response));
+  EXPECT_GE(mElapsed, Duration::zero());
+  EXPECT_LE(mElapsed, std::chrono::hours(1));
+}
+
 } // namespace
 } // namespace bronzedeal::daemon
