Ignore responses to attempts of a former incarnation

Change: between instances the number is combined with a hash of the incarnation. Result: the new test delivered the former response before and passes now.

--- a/src/daemon/attempt_router.cpp
+++ b/src/daemon/attempt_router.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <unordered_map>
+#include <xxhash.h>
 
 namespace bronzedeal::daemon {
 
@@ -91,6 +92,10 @@
 
   InstanceId self;
   Incarnation incarnation;
+  /// Attempts are counted from the same number in each run of an instance.
+  /// Between instances they are combined with a hash of the incarnation, so
+  /// that a response to a former run names no attempt of this one.
+  std::uint64_t mask;
   const FleetViewHolder& fleet;
   OwnerExecutor& executor;
   connection::PeerTransport& transport;
@@ -170,7 +175,7 @@
       const std::lock_guard lock(mutex);
       for (const auto* it : aAttempts) {
         auto& item = *batch.add_items();
-        item.set_attempt_id(it->attempt);
+        item.set_attempt_id(it->attempt ^ mask);
         item.set_shard(it->shard);
         item.set_server(it->server);
         item.set_hedge(it->hedge);
@@ -205,6 +210,7 @@
                              process::Metrics& aMetrics)
   : mImpl(new Impl{ std::move(aSelf),
                     aIncarnation,
+                    XXH64(&aIncarnation, sizeof aIncarnation, 0),
                     aFleet,
                     aExecutor,
                     aTransport,
@@ -258,7 +264,7 @@
       }
       envelopes[found->second.peer]
         .mutable_cancel_sub_request()
-        ->add_attempt_ids(it);
+        ->add_attempt_ids(it ^ mImpl->mask);
       // The owner counts the attempt until its server confirms the end.
       found->second.token.Change(WorkKind::Unconfirmed);
     }
@@ -318,7 +324,8 @@
 void AttemptRouter::OnResponse(const InstanceId& aFrom,
                                peer::SubResponse&& aResponse)
 {
-  if (!mImpl->Take(aResponse.attempt_id(), &aFrom)) {
+  const auto attempt = aResponse.attempt_id() ^ mImpl->mask;
+  if (!mImpl->Take(attempt, &aFrom)) {
     mImpl->metrics.Add(Counter::LateResponses);
     return;
   }
@@ -327,7 +334,7 @@
   result.body = std::move(*aResponse.mutable_body());
   result.load = Decode(aResponse.load());
   result.elapsed = TimeOf(aResponse.elapsed_us());
-  mImpl->handler(aResponse.attempt_id(), std::move(result));
+  mImpl->handler(attempt, std::move(result));
 }
 
 void AttemptRouter::OnBreak(const InstanceId& aPeer)
--- a/tests/daemon/router_test.cpp
+++ b/tests/daemon/router_test.cpp
@@ -162,6 +162,21 @@
   EXPECT_EQ(0U, mOwner.ledger.Total());
 }
 
+// Guards against a response to a former run of this instance that answers an
+// attempt of this run: attempts are counted from the same number in each.
+TEST_F(RouterTest, IgnoresResponsesToAFormerIncarnation)
+{
+  Send(*mRouter, 1, 1);
+  const auto former = NumberAt(0);
+  mRouter = MakeRouter(8);
+  Send(*mRouter, 1, 1);
+  const auto number = NumberAt(1);
+  Answer(*mRouter, "owner-1", former);
+  EXPECT_TRUE(mResults.empty());
+  Answer(*mRouter, "owner-1", number);
+  EXPECT_EQ(std::vector{ ResultCode::Ok }, mResults[1]);
+}
+
 // Guards against times that overflow to a deadline in the past, or to a
 // negative latency that enters the digests.
 TEST_F(RouterTest, ClampsTimesOfPeers)
