End only the forward that could not be sent

Cause: the search for that forward looked its number up while erasing it; with another forward open, std::out_of_range left the handler, the caller got no answer and the thread ended. Change: entries are chosen by their number.

--- a/src/daemon/operation_service.cpp
+++ b/src/daemon/operation_service.cpp
@@ -102,7 +102,8 @@
   void Finish(std::uint64_t aNumber, TicketOutcome aOutcome);
   void Answer(const std::vector<TicketTable::WaiterId>& aWaiters,
               const TicketOutcome& aOutcome);
-  void EndForwards(const std::function<bool(const Forwarded&)>& aEnds);
+  void EndForwards(
+    const std::function<bool(std::uint64_t, const Forwarded&)>& aEnds);
 
   const process::Settings& settings;
   Incarnation incarnation;
@@ -313,19 +314,18 @@
   forward.set_ticket(ToString(aRequest.ticket));
   forward.set_body(aBody);
   if (!transport.Send(issuer, std::move(envelope))) {
-    EndForwards(
-      [&](const Forwarded& aEntry) { return &aEntry == &forwards.at(id); });
+    EndForwards([&](std::uint64_t aId, const Forwarded&) { return aId == id; });
   }
 }
 
 void OperationService::Impl::EndForwards(
-  const std::function<bool(const Forwarded&)>& aEnds)
+  const std::function<bool(std::uint64_t, const Forwarded&)>& aEnds)
 {
   std::vector<OutcomeHandler> ended;
   {
     const std::lock_guard lock(mutex);
     for (auto it = forwards.begin(); it != forwards.end();) {
-      if (aEnds(it->second)) {
+      if (aEnds(it->first, it->second)) {
         ended.push_back(std::move(it->second.handler));
         it = forwards.erase(it);
       } else {
@@ -476,8 +476,9 @@
 
 void OperationService::OnBreak(const InstanceId& aPeer)
 {
-  mImpl->EndForwards(
-    [&](const Impl::Forwarded& aEntry) { return aEntry.peer == aPeer; });
+  mImpl->EndForwards([&](std::uint64_t, const Impl::Forwarded& aEntry) {
+    return aEntry.peer == aPeer;
+  });
 }
 
 void OperationService::Expire(TimePoint aNow)
@@ -488,8 +489,9 @@
     waiting = mImpl->tickets.Expire(aNow);
   }
   mImpl->Answer(waiting, { ResultCode::OutcomeUnknown, {} });
-  mImpl->EndForwards(
-    [&](const Impl::Forwarded& aEntry) { return aEntry.expiresAt <= aNow; });
+  mImpl->EndForwards([&](std::uint64_t, const Impl::Forwarded& aEntry) {
+    return aEntry.expiresAt <= aNow;
+  });
 }
 
 std::size_t OperationService::InProgress() const
