--- a/include/bronzedeal/daemon/operation_service.hpp
+++ b/include/bronzedeal/daemon/operation_service.hpp
@@ -38,7 +38,7 @@
 
   void OnResult(request::AttemptId aAttempt, OwnerResult aResult);
   void OnForward(const InstanceId& aFrom, const peer::TicketForward& aForward);
-  void OnOutcome(const peer::TicketOutcome& aOutcome);
+  void OnOutcome(const InstanceId& aFrom, const peer::TicketOutcome& aOutcome);
   /// The stream to a peer broke: operations forwarded to it are unknown.
   void OnBreak(const InstanceId& aPeer);
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -291,7 +291,7 @@
       }
       break;
     case peer::Envelope::kTicketOutcome:
-      operations.OnOutcome(aEnvelope.ticket_outcome());
+      operations.OnOutcome(from, aEnvelope.ticket_outcome());
       break;
     case peer::Envelope::kQuarantineNotice:
       if (Known(aEnvelope)) {
--- a/src/daemon/operation_service.cpp
+++ b/src/daemon/operation_service.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <mutex>
 #include <unordered_map>
+#include <xxhash.h>
 
 namespace bronzedeal::daemon {
 
@@ -86,6 +87,7 @@
     , ledger(aLedger)
     , metrics(aMetrics)
     , tickets(aSettings.instance, aIncarnation)
+    , nextForward(XXH64(&aIncarnation, sizeof aIncarnation, 0))
   {
   }
 
@@ -121,7 +123,9 @@
   std::unordered_map<TicketTable::WaiterId, OutcomeHandler> waiters;
   AttemptId nextAttempt = QueryService::kFirstOtherAttempt;
   std::unordered_map<AttemptId, RunningPtr> attempts;
-  std::uint64_t nextForward = 1;
+  /// Starts at another number in each run of this instance, so that an outcome
+  /// for a former run names no forward of this one.
+  std::uint64_t nextForward;
   std::unordered_map<std::uint64_t, Forwarded> forwards;
 };
 
@@ -460,16 +464,18 @@
     });
 }
 
-void OperationService::OnOutcome(const peer::TicketOutcome& aOutcome)
+void OperationService::OnOutcome(const InstanceId& aFrom,
+                                 const peer::TicketOutcome& aOutcome)
 {
   OutcomeHandler handler;
   {
     const std::lock_guard lock(mImpl->mutex);
-    auto node = mImpl->forwards.extract(aOutcome.forward_id());
-    if (node.empty()) {
+    const auto it = mImpl->forwards.find(aOutcome.forward_id());
+    if (it == mImpl->forwards.end() || it->second.peer != aFrom) {
       return;
     }
-    handler = std::move(node.mapped().handler);
+    handler = std::move(it->second.handler);
+    mImpl->forwards.erase(it);
   }
   handler({ static_cast<ResultCode>(aOutcome.code()), aOutcome.result() });
 }
--- a/tests/daemon/operation_service_test.cpp
+++ b/tests/daemon/operation_service_test.cpp
@@ -18,6 +18,10 @@
     : mRemote({ .self = "entry-1", .incarnation = 1 })
     , mTransport({ .self = "entry-0", .incarnation = 7 })
   {
+    mRemote.SetHandler([this](peer::Envelope&& aEnvelope) {
+      const std::lock_guard lock(mMutex);
+      mForwards.push_back(aEnvelope.ticket_forward().forward_id());
+    });
     const auto port = mRemote.Listen("127.0.0.1:0");
     mTransport.SetPeers(
       { { "entry-1", "127.0.0.1:" + std::to_string(port.value()) } });
@@ -47,23 +51,40 @@
     return std::string(boost::json::parse(body).at("ticket").as_string());
   }
 
+  /// The number of the n-th forward that `entry-1` received.
+  std::uint64_t ForwardAt(std::size_t aForward)
+  {
+    WaitFor([&] {
+      const std::lock_guard lock(mMutex);
+      return mForwards.size() > aForward;
+    });
+    const std::lock_guard lock(mMutex);
+    return mForwards[aForward];
+  }
+
+  static std::string BodyOf(const std::string& aTicket,
+                            const std::string& aShard,
+                            int aContent)
+  {
+    return fmt::format(R"({{"ticket":"{}","caller":{{"customer":"x"}},)"
+                       R"("request":{{"kind":"reserve"}},"shard":"{}",)"
+                       R"("operation":{{"operation_result":{}}},)"
+                       R"("deadline_ms":10000}})",
+                       aTicket,
+                       aShard,
+                       aContent);
+  }
+
   /// Sends an operation; the future is the answer's body.
   std::future<std::string> Run(const std::string& aTicket,
                                const std::string& aShard = "shard-0",
                                int aContent = 1)
   {
     const auto promise = std::make_shared<std::promise<std::string>>();
-    mOperations.HandleOperation(
-      fmt::format(R"({{"ticket":"{}","caller":{{"customer":"x"}},)"
-                  R"("request":{{"kind":"reserve"}},"shard":"{}",)"
-                  R"("operation":{{"operation_result":{}}},)"
-                  R"("deadline_ms":10000}})",
-                  aTicket,
-                  aShard,
-                  aContent),
-      [promise](const HttpResponse& aReply) {
-        promise->set_value(aReply.body);
-      });
+    mOperations.HandleOperation(BodyOf(aTicket, aShard, aContent),
+                                [promise](const HttpResponse& aReply) {
+                                  promise->set_value(aReply.body);
+                                });
     return promise->get_future();
   }
 
@@ -82,6 +103,8 @@
   process::Settings mSettings{ .instance = "entry-0" };
   process::Metrics mMetrics;
   FleetViewHolder mFleet;
+  std::mutex mMutex;
+  std::vector<std::uint64_t> mForwards;
   connection::PeerTransport mRemote;
   connection::PeerTransport mTransport;
   AttemptRouter mRouter{ "entry-0",       7,          mFleet,
@@ -161,5 +184,29 @@
   EXPECT_EQ(Number(ResultCode::OutcomeUnknown), CodeOf(other.get()));
 }
 
+// Guards against the outcome of another operation: one that this instance
+// forwarded before it restarted, or that of another peer.
+TEST_F(OperationTest, IgnoresForeignOutcomes)
+{
+  auto answer = Run("entry-1.1.1");
+  peer::TicketOutcome outcome;
+  outcome.set_code(static_cast<int>(ResultCode::NotRunShed));
+  // The first forward of incarnation 8 of this instance.
+  OperationService later{ mOwner.context, mSettings, 8,        mOwner.snapshots,
+                          mFleet,         mRouter,   mQueries, mTransport,
+                          mOwner.ledger,  mMetrics };
+  const auto number = ForwardAt(0);
+  outcome.set_forward_id(number);
+  mOperations.OnOutcome("entry-2", outcome);
+  EXPECT_EQ(1U, mOperations.InProgress());
+  later.HandleOperation(BodyOf("entry-1.1.1", "shard-0", 1),
+                        [](const HttpResponse&) {});
+  EXPECT_NE(number, ForwardAt(1));
+  later.OnOutcome("entry-1", outcome);
+  EXPECT_EQ(1U, later.InProgress());
+  mOperations.OnOutcome("entry-1", outcome);
+  EXPECT_EQ(Number(ResultCode::NotRunShed), CodeOf(answer.get()));
+}
+
 } // namespace
 } // namespace bronzedeal::daemon
