--- a/include/bronzedeal/process/messages.hpp
+++ b/include/bronzedeal/process/messages.hpp
@@ -103,8 +103,14 @@
   /// Full records; that of the sender comes first in pings and
   /// acknowledgements.
   std::vector<Member> records;
+<<<<<<< HEAD
   ProgressMap progress;
   std::vector<std::uint32_t> wanted;
+=======
+  std::vector<ProgressGroup> progress;
+
+  bool operator==(const GossipMessage&) const = default;
+>>>>>>> quality
 };
 
 /// Asks for the lease on a slice, or for its renewal.
@@ -118,6 +124,8 @@
   milliseconds duration{ 0 };
   /// The time for which work of the holder may run past the lease's end.
   milliseconds maxWork{ 0 };
+
+  bool operator==(const LeaseRequestMessage&) const = default;
 };
 
 enum class LeaseAnswer : std::uint8_t
@@ -142,6 +150,8 @@
   bool cleanHandover = false;
   /// Time until `cleanHandover` becomes true.
   milliseconds wait{ 0 };
+
+  bool operator==(const LeaseReplyMessage&) const = default;
 };
 
 struct LeaseReleaseMessage
@@ -152,12 +162,16 @@
   std::uint64_t requestId = 0;
   /// True when the holder's work on the slice has ended.
   bool clean = false;
+
+  bool operator==(const LeaseReleaseMessage&) const = default;
 };
 
 struct ConfigPullMessage
 {
   ConfigVersion haveVersion = 0;
   ConfigHash haveHash{};
+
+  bool operator==(const ConfigPullMessage&) const = default;
 };
 
 struct ConfigContentMessage
@@ -168,6 +182,8 @@
   /// document.
   ConfigVersion baseVersion = 0;
   std::string text;
+
+  bool operator==(const ConfigContentMessage&) const = default;
 };
 
 using Message = std::variant<GossipMessage,
--- a/src/daemon/attempt_router.cpp
+++ b/src/daemon/attempt_router.cpp
@@ -3,9 +3,11 @@
 #include "bronzedeal/daemon/codec.hpp"
 #include "bronzedeal/peer.pb.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <unordered_map>
+#include <xxhash.h>
 
 namespace bronzedeal::daemon {
 
@@ -18,6 +20,16 @@
 // A response may arrive this long after the deadline; a lost one is given up.
 constexpr milliseconds kResponseGrace{ 250 };
 
+// Longer than any deadline, and far from an overflow of the clock's type.
+constexpr std::chrono::microseconds kLongestTime = std::chrono::hours(1);
+
+/// A time that a peer states.
+std::chrono::microseconds TimeOf(std::uint64_t aMicroseconds)
+{
+  return std::chrono::microseconds(
+    std::min(aMicroseconds, static_cast<std::uint64_t>(kLongestTime.count())));
+}
+
 std::uint64_t RemainingUs(TimePoint aDeadline)
 {
   const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -52,8 +64,7 @@
   auto context = std::make_shared<AttemptContext>();
   context->configVersion = aBatch.config_version();
   context->indexVersion = aBatch.index_version();
-  context->deadline =
-    SteadyClock::now() + std::chrono::microseconds(aBatch.remaining_us());
+  context->deadline = SteadyClock::now() + TimeOf(aBatch.remaining_us());
   context->caller.insert(aBatch.caller().begin(), aBatch.caller().end());
   context->request.insert(aBatch.request().begin(), aBatch.request().end());
   context->payload = std::make_shared<const std::string>(aBatch.payload());
@@ -81,6 +92,10 @@
 
   InstanceId self;
   Incarnation incarnation;
+  /// Attempts are counted from the same number in each run of an instance.
+  /// Between instances they are combined with a hash of the incarnation, so
+  /// that a response to a former run names no attempt of this one.
+  std::uint64_t mask;
   const FleetViewHolder& fleet;
   OwnerExecutor& executor;
   connection::PeerTransport& transport;
@@ -160,7 +175,7 @@
       const std::lock_guard lock(mutex);
       for (const auto* it : aAttempts) {
         auto& item = *batch.add_items();
-        item.set_attempt_id(it->attempt);
+        item.set_attempt_id(it->attempt ^ mask);
         item.set_shard(it->shard);
         item.set_server(it->server);
         item.set_hedge(it->hedge);
@@ -195,6 +210,7 @@
                              process::Metrics& aMetrics)
   : mImpl(new Impl{ std::move(aSelf),
                     aIncarnation,
+                    XXH64(&aIncarnation, sizeof aIncarnation, 0),
                     aFleet,
                     aExecutor,
                     aTransport,
@@ -248,7 +264,7 @@
       }
       envelopes[found->second.peer]
         .mutable_cancel_sub_request()
-        ->add_attempt_ids(it);
+        ->add_attempt_ids(it ^ mImpl->mask);
       // The owner counts the attempt until its server confirms the end.
       found->second.token.Change(WorkKind::Unconfirmed);
     }
@@ -308,7 +324,8 @@
 void AttemptRouter::OnResponse(const InstanceId& aFrom,
                                peer::SubResponse&& aResponse)
 {
-  if (!mImpl->Take(aResponse.attempt_id(), &aFrom)) {
+  const auto attempt = aResponse.attempt_id() ^ mImpl->mask;
+  if (!mImpl->Take(attempt, &aFrom)) {
     mImpl->metrics.Add(Counter::LateResponses);
     return;
   }
@@ -316,8 +333,8 @@
   result.code = static_cast<ResultCode>(aResponse.code());
   result.body = std::move(*aResponse.mutable_body());
   result.load = Decode(aResponse.load());
-  result.elapsed = std::chrono::microseconds(aResponse.elapsed_us());
-  mImpl->handler(aResponse.attempt_id(), std::move(result));
+  result.elapsed = TimeOf(aResponse.elapsed_us());
+  mImpl->handler(attempt, std::move(result));
 }
 
 void AttemptRouter::OnBreak(const InstanceId& aPeer)
--- a/src/daemon/operation_service.cpp
+++ b/src/daemon/operation_service.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <mutex>
 #include <unordered_map>
+#include <xxhash.h>
 
 namespace bronzedeal::daemon {
 
@@ -86,6 +87,7 @@
     , ledger(aLedger)
     , metrics(aMetrics)
     , tickets(aSettings.instance, aIncarnation)
+    , nextForward(XXH64(&aIncarnation, sizeof aIncarnation, 0))
   {
   }
 
@@ -102,7 +104,8 @@
   void Finish(std::uint64_t aNumber, TicketOutcome aOutcome);
   void Answer(const std::vector<TicketTable::WaiterId>& aWaiters,
               const TicketOutcome& aOutcome);
-  void EndForwards(const std::function<bool(const Forwarded&)>& aEnds);
+  void EndForwards(
+    const std::function<bool(std::uint64_t, const Forwarded&)>& aEnds);
 
   const process::Settings& settings;
   Incarnation incarnation;
@@ -120,7 +123,9 @@
   std::unordered_map<TicketTable::WaiterId, OutcomeHandler> waiters;
   AttemptId nextAttempt = QueryService::kFirstOtherAttempt;
   std::unordered_map<AttemptId, RunningPtr> attempts;
-  std::uint64_t nextForward = 1;
+  /// Starts at another number in each run of this instance, so that an outcome
+  /// for a former run names no forward of this one.
+  std::uint64_t nextForward;
   std::unordered_map<std::uint64_t, Forwarded> forwards;
 };
 
@@ -313,19 +318,18 @@
   forward.set_ticket(ToString(aRequest.ticket));
   forward.set_body(aBody);
   if (!transport.Send(issuer, std::move(envelope))) {
-    EndForwards(
-      [&](const Forwarded& aEntry) { return &aEntry == &forwards.at(id); });
+    EndForwards([&](std::uint64_t aId, const Forwarded&) { return aId == id; });
   }
 }
 
 void OperationService::Impl::EndForwards(
-  const std::function<bool(const Forwarded&)>& aEnds)
+  const std::function<bool(std::uint64_t, const Forwarded&)>& aEnds)
 {
   std::vector<OutcomeHandler> ended;
   {
     const std::lock_guard lock(mutex);
     for (auto it = forwards.begin(); it != forwards.end();) {
-      if (aEnds(it->second)) {
+      if (aEnds(it->first, it->second)) {
         ended.push_back(std::move(it->second.handler));
         it = forwards.erase(it);
       } else {
@@ -460,24 +464,27 @@
     });
 }
 
-void OperationService::OnOutcome(const peer::TicketOutcome& aOutcome)
+void OperationService::OnOutcome(const InstanceId& aFrom,
+                                 const peer::TicketOutcome& aOutcome)
 {
   OutcomeHandler handler;
   {
     const std::lock_guard lock(mImpl->mutex);
-    auto node = mImpl->forwards.extract(aOutcome.forward_id());
-    if (node.empty()) {
+    const auto it = mImpl->forwards.find(aOutcome.forward_id());
+    if (it == mImpl->forwards.end() || it->second.peer != aFrom) {
       return;
     }
-    handler = std::move(node.mapped().handler);
+    handler = std::move(it->second.handler);
+    mImpl->forwards.erase(it);
   }
   handler({ static_cast<ResultCode>(aOutcome.code()), aOutcome.result() });
 }
 
 void OperationService::OnBreak(const InstanceId& aPeer)
 {
-  mImpl->EndForwards(
-    [&](const Impl::Forwarded& aEntry) { return aEntry.peer == aPeer; });
+  mImpl->EndForwards([&](std::uint64_t, const Impl::Forwarded& aEntry) {
+    return aEntry.peer == aPeer;
+  });
 }
 
 void OperationService::Expire(TimePoint aNow)
@@ -488,8 +495,9 @@
     waiting = mImpl->tickets.Expire(aNow);
   }
   mImpl->Answer(waiting, { ResultCode::OutcomeUnknown, {} });
-  mImpl->EndForwards(
-    [&](const Impl::Forwarded& aEntry) { return aEntry.expiresAt <= aNow; });
+  mImpl->EndForwards([&](std::uint64_t, const Impl::Forwarded& aEntry) {
+    return aEntry.expiresAt <= aNow;
+  });
 }
 
 std::size_t OperationService::InProgress() const
