Resolve the merge of the daemon's tests with the progress maps

Change: progress maps are refused when their lists differ in length; the codec's tests generate maps.

--- a/include/bronzedeal/process/messages.hpp
+++ b/include/bronzedeal/process/messages.hpp
@@ -103,14 +103,10 @@
   /// Full records; that of the sender comes first in pings and
   /// acknowledgements.
   std::vector<Member> records;
-<<<<<<< HEAD
   ProgressMap progress;
   std::vector<std::uint32_t> wanted;
-=======
-  std::vector<ProgressGroup> progress;
 
   bool operator==(const GossipMessage&) const = default;
->>>>>>> quality
 };
 
 /// Asks for the lease on a slice, or for its renewal.
--- a/src/daemon/codec.cpp
+++ b/src/daemon/codec.cpp
@@ -104,18 +104,17 @@
   }
 }
 
-/// A map whose lists differ in length is read as absent.
-ProgressMap DecodeProgress(const peer::ProgressMap& aIn)
+std::optional<ProgressMap> DecodeProgress(const peer::ProgressMap& aIn)
 {
   ProgressMap map;
-  map.configVersion = aIn.config_version();
-  map.configHash = Hash(aIn.config_hash());
-  map.rosterRevision = aIn.roster_revision();
   const auto n = aIn.incarnations_size();
   if (aIn.records_size() != n || aIn.in_force_size() != n ||
-      aIn.settled_size() != n) {
-    return map;
+      aIn.settled_size() != n ||
+      !DecodeHash(aIn.config_hash(), map.configHash)) {
+    return std::nullopt;
   }
+  map.configVersion = aIn.config_version();
+  map.rosterRevision = aIn.roster_revision();
   for (int i = 0; i < n; ++i) {
     map.blocks.push_back(
       { aIn.incarnations(i), aIn.records(i), aIn.in_force(i), aIn.settled(i) });
@@ -206,24 +205,14 @@
     }
     message.records.push_back(std::move(*member));
   }
-<<<<<<< HEAD
-  message.progress = DecodeProgress(aIn.progress());
-  message.wanted.assign(aIn.wanted().begin(), aIn.wanted().end());
-=======
-  for (const auto& it : aIn.progress()) {
-    ProgressGroup group;
-    if (it.members_size() != it.sequences_size() ||
-        !DecodeHash(it.config_hash(), group.configHash)) {
+  if (aIn.has_progress()) {
+    auto progress = DecodeProgress(aIn.progress());
+    if (!progress) {
       return std::nullopt;
     }
-    group.configVersion = it.config_version();
-    group.rosterRevision = it.roster_revision();
-    group.oldestActiveVersion = it.oldest_active_version();
-    group.members.assign(it.members().begin(), it.members().end());
-    group.sequences.assign(it.sequences().begin(), it.sequences().end());
-    message.progress.push_back(std::move(group));
+    message.progress = std::move(*progress);
   }
->>>>>>> quality
+  message.wanted.assign(aIn.wanted().begin(), aIn.wanted().end());
   return message;
 }
 
--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -53,11 +53,7 @@
 std::string QueryParameter(std::string_view aQueryString,
                            std::string_view aName)
 {
-<<<<<<< HEAD
   // The parsed view refers to this text.
-=======
-  // The parsed view refers to the text.
->>>>>>> quality
   const auto target = "/?" + std::string(aQueryString);
   const auto url = boost::urls::parse_origin_form(target);
   if (!url) {
--- a/tests/daemon/codec_test.cpp
+++ b/tests/daemon/codec_test.cpp
@@ -49,7 +49,7 @@
   for (int n = *rc::gen::inRange(0, 3); n > 0; --n) {
     member.slices.push_back(AnySlice());
   }
-  member.oldestActiveVersion = Any<ConfigVersion>();
+  member.settledVersion = Any<ConfigVersion>();
   return member;
 }
 
@@ -61,15 +61,20 @@
   message.target = AnyId();
   for (int n = *rc::gen::inRange(0, 3); n > 0; --n) {
     message.records.push_back(AnyMember());
-    ProgressGroup group{ Any<ConfigVersion>(),
-                         Any<ConfigHash>(),
-                         Any<RosterRevision>(),
-                         Any<ConfigVersion>(),
-                         Any<std::vector<std::uint64_t>>(),
-                         {} };
-    group.sequences = group.members;
-    message.progress.push_back(std::move(group));
   }
+  // A map without blocks is not sent.
+  if (const int n = *rc::gen::inRange(0, 3); n > 0) {
+    message.progress.configVersion = Any<ConfigVersion>();
+    message.progress.configHash = Any<ConfigHash>();
+    message.progress.rosterRevision = Any<RosterRevision>();
+    for (int i = 0; i < n; ++i) {
+      message.progress.blocks.push_back({ Any<std::uint64_t>(),
+                                          Any<std::uint32_t>(),
+                                          Any<std::uint64_t>(),
+                                          Any<std::uint64_t>() });
+    }
+  }
+  message.wanted = Any<std::vector<std::uint32_t>>();
   return message;
 }
 
@@ -152,15 +157,17 @@
   }
 }
 
-// Guards against members that are paired with sequences of others.
+// Guards against blocks that are paired with bits of others.
 TEST(Codec, RefusesUnevenProgress)
 {
   peer::Envelope envelope = Encode(Message(GossipMessage{}));
-  auto& group = *envelope.mutable_gossip()->add_progress();
-  group.set_config_hash(std::string(16, 'x'));
-  group.add_members(1);
+  auto& map = *envelope.mutable_gossip()->mutable_progress();
+  map.set_config_hash(std::string(16, 'x'));
+  map.add_incarnations(1);
+  map.add_records(1);
+  map.add_in_force(1);
   EXPECT_FALSE(Decode(envelope));
-  group.add_sequences(1);
+  map.add_settled(1);
   EXPECT_TRUE(Decode(envelope));
 }
 
