Repeat the first sync until half of the records are known

Cause: a lost first sync left a fresh instance with one block of records per second; a list with a repeated id gave two entries. Change: an instance that knows fewer than half of the records asks for all; lists are sorted and repeated ids dropped.

--- a/include/bronzedeal/process/membership.hpp
+++ b/include/bronzedeal/process/membership.hpp
@@ -110,7 +110,8 @@
   Membership& operator=(Membership&&) noexcept;
 
   /// Takes a published list; a revision that is not higher is ignored. Members
-  /// that are no longer listed are forgotten.
+  /// that are no longer listed are forgotten. Of entries with the same id one
+  /// is kept.
   void SetRoster(RosterRevision aRevision,
                  std::vector<RosterEntry> aEntries,
                  TimePoint aNow);
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -136,8 +136,6 @@
   std::optional<TimePoint> nextProbe;
   std::optional<TimePoint> nextPush;
   std::optional<TimePoint> nextSync;
-  /// The own table is new and has not been filled from a peer.
-  bool empty = true;
   std::uint64_t epoch = 1;
   std::uint64_t candidateEpoch = 1;
   /// The records of `entries` as of `copiedEpoch`.
@@ -679,8 +677,8 @@
     }
   }
 
-  // A new instance asks one peer for all records; later only blocks are asked
-  // for that have differed from those of others for a while.
+  // An instance that knows few records asks one peer for all; later only blocks
+  // are asked for that have differed from those of others for a while.
   void TickSync(TimePoint aNow, std::vector<Outgoing>& aOut)
   {
     if (nextSync && aNow < *nextSync) {
@@ -691,7 +689,12 @@
       return;
     }
     GossipMessage message{ GossipKind::Sync, 0, {}, {}, {}, {} };
-    if (!empty) {
+    const auto known =
+      std::count_if(entries.begin(), entries.end(), [](const Entry& aIt) {
+        return aIt.record.sequence != 0;
+      });
+    // Asked again when the request or the answers were lost.
+    if (2 * static_cast<std::size_t>(known) > entries.size()) {
       const auto due =
         std::find_if(differsSince.begin(), differsSince.end(), [&](auto& aIt) {
           return aIt && aNow - *aIt >= options.syncDelay;
@@ -703,7 +706,6 @@
       message.wanted.push_back(
         static_cast<std::uint32_t>(due - differsSince.begin()));
     }
-    empty = false;
     nextSync = aNow + options.syncDelay;
     aOut.push_back({ entries[*peer].record.id, std::move(message) });
   }
@@ -799,6 +801,15 @@
   const bool first = impl.revision == 0;
   impl.revision = aRevision;
   impl.roster = std::move(aEntries);
+  const auto byId = [](const auto& aL, const auto& aR) {
+    return aL.id < aR.id;
+  };
+  std::sort(impl.roster.begin(), impl.roster.end(), byId);
+  const auto same = [](const auto& aL, const auto& aR) {
+    return aL.id == aR.id;
+  };
+  impl.roster.erase(std::unique(impl.roster.begin(), impl.roster.end(), same),
+                    impl.roster.end());
   std::vector<Entry> entries;
   entries.push_back(std::move(impl.Own()));
   entries.front().listed = false;
