--- a/bench/harness.py
+++ b/bench/harness.py
@@ -263,8 +263,8 @@
             "defaults": self.backend_options, "servers": self._servers()})
         self.document = self._first_document()
         for n in range(self.count):
-            self.start_instance(f"entry-{n}", self.domains[n % len(self.domains)],
-                                publish=False)
+            domain = self.domains[n % len(self.domains)]
+            self.start_instance(f"entry-{n}", domain, publish=False)
         self.publish_instances()
         self.publish()
 
@@ -376,7 +376,7 @@
         return at
 
     def edit(self, change):
-        """Applies a function to the document and publishes the next version."""
+        """Changes the document by a function and publishes the next version."""
         change(self.document)
         self.document["version"] += 1
         return self.publish()
