Use one reader of JSON objects for settings and documents

Cause: JsonFields and version's ObjectReader did the same work with different names and slightly different messages. Change: JsonFields in the base library has both sets of reads; names and labels, which only documents use, are free functions of the version library. Errors of settings now say '(absent)' and list the known fields, as those of documents do; no test or page relied on the former texts.

--- a/include/bronzedeal/json_fields.hpp
+++ b/include/bronzedeal/json_fields.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "bronzedeal/error.hpp"
+#include "bronzedeal/types.hpp"
 
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 #include <cstdint>
 #include <string>
@@ -10,45 +12,92 @@
 
 namespace bronzedeal {
 
-/// Reads the members of one JSON object and collects every error in one pass.
-/// Members that no call has read are reported by `Finish`.
+/// The JSON pointer of a member: `aParent` and the escaped key.
+[[nodiscard]] std::string Pointer(std::string_view aParent,
+                                  std::string_view aKey);
+
+/// The value as JSON, shortened to 80 characters.
+[[nodiscard]] std::string Shown(const boost::json::value& aValue);
+
+/// Reads the fields of one JSON object and collects every error in one pass.
+/// `Finish` reports the fields that were not read.
+///
+///     JsonFields fields(value, "/limits", errors);
+///     fields.TakeInteger("slots", limits.slots, 1, 1024);
+///     fields.Finish();
 class JsonFields
 {
 public:
-  /// Reports an error and reads nothing when `aValue` is not an object.
+  /// A value that is no object is reported; all fields then read as absent
+  /// without further errors.
   JsonFields(const boost::json::value& aValue,
              std::string aPointer,
              std::vector<FieldError>& aErrors);
 
-  [[nodiscard]] std::string String(std::string_view aKey);
-  [[nodiscard]] std::string String(std::string_view aKey,
-                                   std::string_view aDefault);
-  [[nodiscard]] bool Bool(std::string_view aKey, bool aDefault);
-  [[nodiscard]] std::int64_t Integer(std::string_view aKey,
-                                     std::int64_t aDefault,
-                                     std::int64_t aLowest,
-                                     std::int64_t aHighest);
-  [[nodiscard]] double Number(std::string_view aKey,
-                              double aDefault,
-                              double aLowest,
-                              double aHighest);
-  /// The member, or `nullptr` when it is absent.
-  [[nodiscard]] const boost::json::value* Optional(std::string_view aKey);
-
-  /// The pointer of a member, with `~` and `/` escaped.
-  [[nodiscard]] std::string PointerOf(std::string_view aKey) const;
-  void Report(std::string_view aKey, std::string_view aAllowed);
-  /// Reports each member that was not read as unknown.
+  /// The field, or `nullptr` when it is absent; a required one is then
+  /// reported.
+  const boost::json::value* Take(std::string_view aKey,
+                                 bool aRequired = false,
+                                 std::string_view aAllowed = {});
+
+  /// The field as an object, with the same rules.
+  const boost::json::object* TakeObject(std::string_view aKey, bool aRequired);
+
+  /// A string of at most `aMaxSize` bytes.
+  std::string TakeText(std::string_view aKey,
+                       bool aRequired,
+                       std::size_t aMaxSize);
+
+  /// A required string that is not empty.
+  std::string TakeString(std::string_view aKey);
+
+  // An absent or invalid field leaves the value as it is.
+
+  template<typename T>
+  void TakeInteger(std::string_view aKey,
+                   T& aValue,
+                   std::uint64_t aMin,
+                   std::uint64_t aMax,
+                   bool aRequired = false)
+  {
+    auto value = static_cast<std::uint64_t>(aValue);
+    if (ReadInteger(aKey, value, aMin, aMax, aRequired)) {
+      aValue = static_cast<T>(value);
+    }
+  }
+
+  void TakeMilliseconds(std::string_view aKey,
+                        milliseconds& aValue,
+                        std::uint64_t aMin,
+                        std::uint64_t aMax);
+  void TakeNumber(std::string_view aKey,
+                  double& aValue,
+                  double aMin,
+                  double aMax);
+  void TakeBool(std::string_view aKey, bool& aValue);
+
   void Finish();
 
+  void Fail(std::string_view aKey,
+            std::string aSeen,
+            std::string_view aAllowed);
+  /// The same for the field as it is in the object.
+  void Fail(std::string_view aKey, std::string_view aAllowed);
+  [[nodiscard]] std::string PointerTo(std::string_view aKey) const;
+  /// Where errors go that concern no field of this object.
+  [[nodiscard]] std::vector<FieldError>& Errors() noexcept { return mErrors; }
+
 private:
-  const boost::json::object* mObject = nullptr;
+  bool ReadInteger(std::string_view aKey,
+                   std::uint64_t& aValue,
+                   std::uint64_t aMin,
+                   std::uint64_t aMax,
+                   bool aRequired);
+
+  const boost::json::object* mObject;
   std::string mPointer;
   std::vector<FieldError>& mErrors;
-  std::vector<std::string> mRead;
+  std::vector<std::string_view> mKnown;
 };
 
-/// A short rendering of a value for error messages, at most 80 characters.
-[[nodiscard]] std::string Shorten(const boost::json::value& aValue);
-
 } // namespace bronzedeal
--- a/src/base/json_fields.cpp
+++ b/src/base/json_fields.cpp
@@ -3,23 +3,51 @@
 #include <algorithm>
 #include <boost/json/serialize.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace bronzedeal {
 
 namespace {
 
-constexpr std::size_t kMaxSeen = 80;
+constexpr std::size_t kShownSize = 80;
+constexpr std::string_view kAbsent = "(absent)";
+
+std::string Shorten(std::string aText)
+{
+  if (aText.size() <= kShownSize) {
+    return aText;
+  }
+  auto size = kShownSize - 3;
+  // Does not cut a UTF-8 sequence, whose further bytes are 10xxxxxx.
+  while (size > 0 &&
+         (static_cast<unsigned char>(aText[size]) & 0xC0U) == 0x80U) {
+    --size;
+  }
+  aText.resize(size);
+  return aText + "...";
+}
 
 } // namespace
 
-std::string Shorten(const boost::json::value& aValue)
+std::string Pointer(std::string_view aParent, std::string_view aKey)
 {
-  auto text = boost::json::serialize(aValue);
-  if (text.size() > kMaxSeen) {
-    text.resize(kMaxSeen - 3);
-    text += "...";
+  std::string result(aParent);
+  result += '/';
+  for (const char it : aKey) {
+    if (it == '~') {
+      result += "~0";
+    } else if (it == '/') {
+      result += "~1";
+    } else {
+      result += it;
+    }
   }
-  return text;
+  return result;
+}
+
+std::string Shown(const boost::json::value& aValue)
+{
+  return Shorten(boost::json::serialize(aValue));
 }
 
 JsonFields::JsonFields(const boost::json::value& aValue,
@@ -30,113 +58,149 @@
   , mErrors(aErrors)
 {
   if (mObject == nullptr) {
-    mErrors.push_back({ mPointer, Shorten(aValue), "an object" });
+    mErrors.push_back({ mPointer, Shown(aValue), "an object" });
   }
 }
 
-const boost::json::value* JsonFields::Optional(std::string_view aKey)
+std::string JsonFields::PointerTo(std::string_view aKey) const
 {
-  mRead.emplace_back(aKey);
-  return mObject == nullptr ? nullptr : mObject->if_contains(aKey);
+  return Pointer(mPointer, aKey);
 }
 
-std::string JsonFields::PointerOf(std::string_view aKey) const
+void JsonFields::Fail(std::string_view aKey,
+                      std::string aSeen,
+                      std::string_view aAllowed)
 {
-  std::string buf = mPointer + "/";
-  for (const char c : aKey) {
-    if (c == '~') {
-      buf += "~0";
-    } else if (c == '/') {
-      buf += "~1";
-    } else {
-      buf += c;
-    }
-  }
-  return buf;
+  mErrors.push_back(
+    { PointerTo(aKey), std::move(aSeen), std::string(aAllowed) });
 }
 
-void JsonFields::Report(std::string_view aKey, std::string_view aAllowed)
+void JsonFields::Fail(std::string_view aKey, std::string_view aAllowed)
 {
   const auto* value = mObject == nullptr ? nullptr : mObject->if_contains(aKey);
-  mErrors.push_back({ PointerOf(aKey),
-                      value == nullptr ? "nothing" : Shorten(*value),
-                      std::string(aAllowed) });
+  Fail(aKey, value == nullptr ? std::string(kAbsent) : Shown(*value), aAllowed);
 }
 
-std::string JsonFields::String(std::string_view aKey)
+const boost::json::value* JsonFields::Take(std::string_view aKey,
+                                           bool aRequired,
+                                           std::string_view aAllowed)
 {
-  const auto* value = Optional(aKey);
+  mKnown.push_back(aKey);
   if (mObject == nullptr) {
+    return nullptr;
+  }
+  const auto* result = mObject->if_contains(aKey);
+  if (result == nullptr && aRequired) {
+    Fail(aKey, std::string(kAbsent), aAllowed);
+  }
+  return result;
+}
+
+const boost::json::object* JsonFields::TakeObject(std::string_view aKey,
+                                                  bool aRequired)
+{
+  const auto* value = Take(aKey, aRequired, "an object");
+  if (value == nullptr) {
+    return nullptr;
+  }
+  if (!value->is_object()) {
+    Fail(aKey, Shown(*value), "an object");
+  }
+  return value->if_object();
+}
+
+std::string JsonFields::TakeText(std::string_view aKey,
+                                 bool aRequired,
+                                 std::size_t aMaxSize)
+{
+  const auto allowed = fmt::format("a string of at most {} bytes", aMaxSize);
+  const auto* value = Take(aKey, aRequired, allowed);
+  if (value == nullptr) {
     return {};
   }
-  if (value == nullptr || !value->is_string() || value->get_string().empty()) {
-    Report(aKey, "a string that is not empty");
+  const auto* text = value->if_string();
+  if (text == nullptr || text->size() > aMaxSize) {
+    Fail(aKey, Shown(*value), allowed);
     return {};
   }
-  return std::string(value->get_string());
+  return std::string(*text);
 }
 
-std::string JsonFields::String(std::string_view aKey, std::string_view aDefault)
+std::string JsonFields::TakeString(std::string_view aKey)
 {
-  const auto* value = Optional(aKey);
+  constexpr std::string_view kAllowed = "a string that is not empty";
+  const auto* value = Take(aKey, true, kAllowed);
   if (value == nullptr) {
-    return std::string(aDefault);
+    return {};
   }
-  if (!value->is_string()) {
-    Report(aKey, "a string");
-    return std::string(aDefault);
+  const auto* text = value->if_string();
+  if (text == nullptr || text->empty()) {
+    Fail(aKey, kAllowed);
+    return {};
   }
-  return std::string(value->get_string());
+  return std::string(*text);
 }
 
-bool JsonFields::Bool(std::string_view aKey, bool aDefault)
+bool JsonFields::ReadInteger(std::string_view aKey,
+                             std::uint64_t& aValue,
+                             std::uint64_t aMin,
+                             std::uint64_t aMax,
+                             bool aRequired)
 {
-  const auto* value = Optional(aKey);
+  const auto allowed = fmt::format("an integer from {} to {}", aMin, aMax);
+  const auto* value = Take(aKey, aRequired, allowed);
   if (value == nullptr) {
-    return aDefault;
+    return false;
   }
-  if (!value->is_bool()) {
-    Report(aKey, "true or false");
-    return aDefault;
+  boost::json::error_code ec;
+  const auto n = value->is_double() ? 0 : value->to_number<std::uint64_t>(ec);
+  if (value->is_double() || ec || n < aMin || n > aMax) {
+    Fail(aKey, Shown(*value), allowed);
+    return false;
   }
-  return value->get_bool();
+  aValue = n;
+  return true;
 }
 
-std::int64_t JsonFields::Integer(std::string_view aKey,
-                                 std::int64_t aDefault,
-                                 std::int64_t aLowest,
-                                 std::int64_t aHighest)
+void JsonFields::TakeMilliseconds(std::string_view aKey,
+                                  milliseconds& aValue,
+                                  std::uint64_t aMin,
+                                  std::uint64_t aMax)
 {
-  const auto* value = Optional(aKey);
+  auto n = aValue.count();
+  TakeInteger(aKey, n, aMin, aMax);
+  aValue = milliseconds(n);
+}
+
+void JsonFields::TakeNumber(std::string_view aKey,
+                            double& aValue,
+                            double aMin,
+                            double aMax)
+{
+  const auto* value = Take(aKey);
   if (value == nullptr) {
-    return aDefault;
+    return;
   }
-  boost::system::error_code ec;
-  const auto n = value->to_number<std::int64_t>(ec);
-  if (ec || !value->is_number() || value->is_double() || n < aLowest ||
-      n > aHighest) {
-    Report(aKey, fmt::format("an integer from {} to {}", aLowest, aHighest));
-    return aDefault;
+  boost::json::error_code ec;
+  const auto n = value->to_number<double>(ec);
+  if (ec || !(n >= aMin && n <= aMax)) {
+    Fail(aKey, fmt::format("a number from {} to {}", aMin, aMax));
+    return;
   }
-  return n;
+  aValue = n;
 }
 
-double JsonFields::Number(std::string_view aKey,
-                          double aDefault,
-                          double aLowest,
-                          double aHighest)
+void JsonFields::TakeBool(std::string_view aKey, bool& aValue)
 {
-  const auto* value = Optional(aKey);
+  const auto* value = Take(aKey);
   if (value == nullptr) {
-    return aDefault;
+    return;
   }
-  boost::system::error_code ec;
-  const auto n = value->to_number<double>(ec);
-  if (ec || n < aLowest || n > aHighest) {
-    Report(aKey, fmt::format("a number from {} to {}", aLowest, aHighest));
-    return aDefault;
+  if (!value->is_bool()) {
+    Fail(aKey, "true or false");
+    return;
   }
-  return n;
+  aValue = value->get_bool();
 }
 
 void JsonFields::Finish()
@@ -145,9 +209,11 @@
     return;
   }
   for (const auto& it : *mObject) {
-    if (std::find(mRead.begin(), mRead.end(), it.key()) == mRead.end()) {
-      mErrors.push_back(
-        { PointerOf(it.key()), Shorten(it.value()), "no such field is known" });
+    const std::string_view key = it.key();
+    if (std::find(mKnown.begin(), mKnown.end(), key) == mKnown.end()) {
+      Fail(key,
+           Shown(it.value()),
+           fmt::format("no such field; known are {}", fmt::join(mKnown, ", ")));
     }
   }
 }
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -6,13 +6,14 @@
 #include <boost/json/parse.hpp>
 #include <boost/leaf/error.hpp>
 #include <charconv>
+#include <limits>
 
 namespace bronzedeal::process {
 
 namespace {
 
-constexpr std::int64_t kMaxThreads = 64;
-constexpr std::int64_t kMaxMilliseconds = 600'000;
+constexpr std::uint64_t kMaxThreads = 64;
+constexpr std::uint64_t kMaxMilliseconds = 600'000;
 
 bool IsAddress(std::string_view aText)
 {
@@ -33,9 +34,9 @@
 
 std::string ReadAddress(JsonFields& aFields, std::string_view aKey)
 {
-  auto text = aFields.String(aKey);
+  auto text = aFields.TakeString(aKey);
   if (!text.empty() && !IsAddress(text)) {
-    aFields.Report(aKey, "an address IP:PORT");
+    aFields.Fail(aKey, "an address IP:PORT");
   }
   return text;
 }
@@ -45,11 +46,11 @@
 {
   JsonFields fields(aValue, "/features", aErrors);
   Features features;
-  features.hedging = fields.Bool("hedging", true);
-  features.canary = fields.Bool("canary", true);
-  features.coldRamp = fields.Bool("cold_ramp", true);
-  features.quarantine = fields.Bool("quarantine", true);
-  features.admission = fields.Bool("admission", true);
+  fields.TakeBool("hedging", features.hedging);
+  fields.TakeBool("canary", features.canary);
+  fields.TakeBool("cold_ramp", features.coldRamp);
+  fields.TakeBool("quarantine", features.quarantine);
+  fields.TakeBool("admission", features.admission);
   fields.Finish();
   return features;
 }
@@ -60,21 +61,20 @@
 {
   JsonFields fields(aValue, aPointer, aErrors);
   FaultInjection faults;
-  faults.seed = static_cast<std::uint64_t>(
-    fields.Integer("seed", 1, 0, std::numeric_limits<std::int64_t>::max()));
-  if (const auto* links = fields.Optional("links")) {
+  fields.TakeInteger(
+    "seed", faults.seed, 0, std::numeric_limits<std::int64_t>::max());
+  if (const auto* links = fields.Take("links")) {
     if (!links->is_array()) {
-      fields.Report("links", "an array of links");
+      fields.Fail("links", "an array of links");
     } else {
       std::size_t n = 0;
       for (const auto& it : links->get_array()) {
         JsonFields link(
-          it, fields.PointerOf("links") + "/" + std::to_string(n++), aErrors);
+          it, Pointer(fields.PointerTo("links"), std::to_string(n++)), aErrors);
         LinkFault fault;
-        fault.to = link.String("to");
-        fault.drop = link.Number("drop", 0, 0, 1);
-        fault.delay =
-          milliseconds(link.Integer("delay_ms", 0, 0, kMaxMilliseconds));
+        fault.to = link.TakeString("to");
+        link.TakeNumber("drop", fault.drop, 0, 1);
+        link.TakeMilliseconds("delay_ms", fault.delay, 0, kMaxMilliseconds);
         link.Finish();
         faults.links.push_back(std::move(fault));
       }
@@ -109,26 +109,28 @@
   std::vector<FieldError> errors;
   JsonFields fields(value, "", errors);
   Settings settings;
-  settings.instance = fields.String("instance");
+  settings.instance = fields.TakeString("instance");
   settings.httpAddress = ReadAddress(fields, "http");
   settings.adminAddress = ReadAddress(fields, "admin");
   settings.peerAddress = ReadAddress(fields, "peer");
   settings.platformAddress = ReadAddress(fields, "platform");
-  settings.failureDomain = fields.String("failure_domain");
-  settings.region = fields.String("region");
-  settings.threads =
-    static_cast<unsigned>(fields.Integer("threads", 2, 1, kMaxThreads));
-  if (!ParseLogLevel(fields.String("log_level", "info"), settings.logLevel)) {
-    fields.Report("log_level", "info, warning or error");
+  settings.failureDomain = fields.TakeString("failure_domain");
+  settings.region = fields.TakeString("region");
+  fields.TakeInteger("threads", settings.threads, 1, kMaxThreads);
+  if (const auto* level = fields.Take("log_level")) {
+    const auto* text = level->if_string();
+    if (text == nullptr || !ParseLogLevel(*text, settings.logLevel)) {
+      fields.Fail("log_level", "info, warning or error");
+    }
   }
-  settings.addressTtl = milliseconds(
-    fields.Integer("address_ttl_ms", 10'000, 100, kMaxMilliseconds));
-  settings.shutdownLinger = milliseconds(
-    fields.Integer("shutdown_linger_ms", 12'000, 0, kMaxMilliseconds));
-  if (const auto* features = fields.Optional("features")) {
+  fields.TakeMilliseconds(
+    "address_ttl_ms", settings.addressTtl, 100, kMaxMilliseconds);
+  fields.TakeMilliseconds(
+    "shutdown_linger_ms", settings.shutdownLinger, 0, kMaxMilliseconds);
+  if (const auto* features = fields.Take("features")) {
     settings.features = ReadFeatures(*features, errors);
   }
-  if (const auto* faults = fields.Optional("fault_injection")) {
+  if (const auto* faults = fields.Take("fault_injection")) {
     settings.faultInjection =
       ReadFaultInjection(*faults, "/fault_injection", errors);
   }
@@ -136,7 +138,7 @@
   // Lifetimes are jittered by up to 20%; a caller must never keep an address
   // longer than the instance behind it serves.
   if (settings.shutdownLinger * 5 < settings.addressTtl * 6) {
-    fields.Report("shutdown_linger_ms", "at least 1.2 times address_ttl_ms");
+    fields.Fail("shutdown_linger_ms", "at least 1.2 times address_ttl_ms");
   }
   if (!errors.empty()) {
     return boost::leaf::new_error(
--- a/src/version/document.cpp
+++ b/src/version/document.cpp
@@ -83,7 +83,7 @@
 
   Document Read(const json::value& aValue)
   {
-    ObjectReader reader(aValue, "", mErrors);
+    JsonFields reader(aValue, "", mErrors);
     reader.TakeInteger("version", mDocument.version, 1, kMaxVersion, true);
     mDocument.changedBy = reader.TakeText("changed_by", false, kMaxTextSize);
     mDocument.changedAt = reader.TakeText("changed_at", false, kMaxTextSize);
@@ -97,13 +97,13 @@
       ReadIndex(*it);
     }
     ReadSelectors(reader);
-    if (const auto* it = reader.Take("ownership", false, "")) {
-      ObjectReader ownership(*it, "/ownership", mErrors);
+    if (const auto* it = reader.Take("ownership")) {
+      JsonFields ownership(*it, "/ownership", mErrors);
       ownership.TakeInteger(
         "slices_per_domain", mDocument.slicesPerDomain, 1, 64);
       ownership.Finish();
     }
-    if (const auto* it = reader.Take("limits", false, "")) {
+    if (const auto* it = reader.Take("limits")) {
       ReadLimits(*it);
     }
     reader.Finish();
@@ -114,7 +114,7 @@
   /// Calls `aFunction(name, value, pointer)` for each member of an object whose
   /// keys are names.
   template<typename F>
-  void ForEach(ObjectReader& aReader,
+  void ForEach(JsonFields& aReader,
                std::string_view aKey,
                bool aRequired,
                F aFunction)
@@ -137,9 +137,9 @@
   }
 
   /// Labels of the document itself; the built-in keys are reserved.
-  Labels ReadLabels(ObjectReader& aReader)
+  Labels ReadLabels(JsonFields& aReader)
   {
-    auto result = aReader.TakeLabels("labels");
+    auto result = TakeLabels(aReader, "labels");
     const auto pointer = aReader.PointerTo("labels");
     for (const auto& key : kBuiltInLabels) {
       if (const auto it = result.find(key); it != result.end()) {
@@ -155,9 +155,9 @@
                   const json::value& aValue,
                   std::string aPointer)
   {
-    ObjectReader reader(aValue, std::move(aPointer), mErrors);
+    JsonFields reader(aValue, std::move(aPointer), mErrors);
     DomainSpec domain;
-    domain.region = reader.TakeName("region");
+    domain.region = TakeName(reader, "region");
     domain.labels = ReadLabels(reader);
     reader.Finish();
     mDocument.failureDomains.emplace(std::move(aName), std::move(domain));
@@ -167,10 +167,10 @@
                    const json::value& aValue,
                    std::string aPointer)
   {
-    ObjectReader reader(aValue, std::move(aPointer), mErrors);
+    JsonFields reader(aValue, std::move(aPointer), mErrors);
     ServiceSpec service;
     service.labels = ReadLabels(reader);
-    if (const auto* it = reader.Take("limits", false, "")) {
+    if (const auto* it = reader.Take("limits")) {
       ReadServiceLimits(*it, reader.PointerTo("limits"), service.limits);
     }
     ForEach(reader,
@@ -187,7 +187,7 @@
                          std::string aPointer,
                          ServiceLimits& aLimits)
   {
-    ObjectReader reader(aValue, std::move(aPointer), mErrors);
+    JsonFields reader(aValue, std::move(aPointer), mErrors);
     reader.TakeInteger("slots", aLimits.slots, 1, 1024);
     reader.TakeInteger("connections", aLimits.connections, 1, 1024);
     reader.TakeMilliseconds("connect_ms", aLimits.connectTime, 1, 10000);
@@ -211,10 +211,10 @@
                   std::string aPointer,
                   std::map<ServerId, ServerSpec, std::less<>>& aServers)
   {
-    ObjectReader reader(aValue, aPointer, mErrors);
+    JsonFields reader(aValue, aPointer, mErrors);
     ServerSpec server;
     ReadAddress(reader, server.address);
-    server.failureDomain = reader.TakeName("failure_domain");
+    server.failureDomain = TakeName(reader, "failure_domain");
     if (!server.failureDomain.empty() &&
         !mDocument.failureDomains.contains(server.failureDomain)) {
       reader.Fail("failure_domain",
@@ -234,7 +234,7 @@
     aServers.emplace(std::move(aId), std::move(server));
   }
 
-  void ReadAddress(ObjectReader& aReader, std::string& aAddress)
+  void ReadAddress(JsonFields& aReader, std::string& aAddress)
   {
     constexpr std::string_view kAllowed =
       "an IP address and a port from 1 to 65535, such as 127.0.0.1:9001 or "
@@ -262,7 +262,7 @@
 
   void ReadIndex(const json::value& aValue)
   {
-    ObjectReader reader(aValue, "/index", mErrors);
+    JsonFields reader(aValue, "/index", mErrors);
     auto& index = mDocument.index;
     reader.TakeInteger("serving", index.serving, 1, kMaxVersion, true);
     if (const auto* object = reader.TakeObject("versions", true)) {
@@ -291,14 +291,14 @@
                   const std::string& aPointer,
                   ShardMap& aShards)
   {
-    ObjectReader reader(aValue, aPointer, mErrors);
+    JsonFields reader(aValue, aPointer, mErrors);
     ForEach(reader,
             "shards",
             true,
             [&](std::string aId, const json::value& aIt, std::string aAt) {
-              ObjectReader shardReader(aIt, std::move(aAt), mErrors);
+              JsonFields shardReader(aIt, std::move(aAt), mErrors);
               ShardSpec shard;
-              shard.service = shardReader.TakeName("service");
+              shard.service = TakeName(shardReader, "service");
               if (!shard.service.empty() &&
                   !mDocument.services.contains(shard.service)) {
                 shardReader.Fail("service",
@@ -312,7 +312,7 @@
     reader.Finish();
   }
 
-  void ReadSelectors(ObjectReader& aReader)
+  void ReadSelectors(JsonFields& aReader)
   {
     const auto* value = aReader.Take("selectors", true, "an array");
     if (value == nullptr) {
@@ -326,9 +326,9 @@
     std::unordered_map<std::string, std::string> names;
     for (std::size_t n = 0; n < array->size(); ++n) {
       const auto pointer = Pointer("/selectors", std::to_string(n));
-      ObjectReader reader((*array)[n], pointer, mErrors);
+      JsonFields reader((*array)[n], pointer, mErrors);
       SelectorSpec selector;
-      selector.name = reader.TakeName("name");
+      selector.name = TakeName(reader, "name");
       ReadSelector(reader, "callers", selector.callers);
       ReadSelector(reader, "requests", selector.requests);
       ReadSelector(reader, "targets", selector.targets);
@@ -343,7 +343,7 @@
     }
   }
 
-  static void ReadSelector(ObjectReader& aReader,
+  static void ReadSelector(JsonFields& aReader,
                            std::string_view aKey,
                            Selector& aSelector)
   {
@@ -368,7 +368,7 @@
 
   void ReadLimits(const json::value& aValue)
   {
-    ObjectReader reader(aValue, "/limits", mErrors);
+    JsonFields reader(aValue, "/limits", mErrors);
     auto& limits = mDocument.limits;
     reader.TakeMilliseconds(
       "max_subrequest_ms", limits.maxSubrequest, 1, 10000);
--- a/src/version/explain.cpp
+++ b/src/version/explain.cpp
@@ -148,10 +148,10 @@
              {} });
   }
   Error error;
-  ObjectReader reader(value, "", error.fields);
+  JsonFields reader(value, "", error.fields);
   ExplainRequest result;
-  result.caller = reader.TakeLabels("caller", true);
-  result.request = reader.TakeLabels("request", true);
+  result.caller = TakeLabels(reader, "caller", true);
+  result.request = TakeLabels(reader, "request", true);
   reader.Finish();
   if (!error.fields.empty()) {
     error.code = ResultCode::InvalidField;
