--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -1,5 +1,6 @@
 #include "bronzedeal/request/caller_request.hpp"
 
+#include "bronzedeal/json_fields.hpp"
 #include "json_text.hpp"
 
 #include <algorithm>
@@ -18,42 +19,11 @@
 
 using enum ResultCode;
 
-constexpr std::size_t kMaxSeen = 80;
 constexpr std::size_t kMaxLabels = 64;
 /// As in Kubernetes, whose selector syntax the labels are matched with.
 constexpr std::size_t kMaxLabel = 63;
 constexpr std::size_t kMaxShardName = 128;
 
-std::string Shorten(std::string aText)
-{
-  if (aText.size() > kMaxSeen) {
-    // Not inside a UTF-8 sequence, so that the text stays valid JSON.
-    auto end = kMaxSeen;
-    while (end > 0 &&
-           (static_cast<unsigned char>(aText[end]) & 0xC0U) == 0x80) {
-      --end;
-    }
-    aText.resize(end);
-  }
-  return aText;
-}
-
-/// The key as a part of a JSON pointer (RFC 6901).
-std::string PointerPart(std::string_view aKey)
-{
-  std::string part = "/";
-  for (const char it : aKey) {
-    if (it == '~') {
-      part += "~0";
-    } else if (it == '/') {
-      part += "~1";
-    } else {
-      part += it;
-    }
-  }
-  return part;
-}
-
 bool IsLabelText(std::string_view aText, std::string_view aExtra) noexcept
 {
   return aText.size() <= kMaxLabel &&
@@ -105,49 +75,31 @@
 {
 public:
   explicit FieldReader(const json::value& aBody)
+    : mFields(aBody, "", mError.fields)
   {
-    if (aBody.is_object()) {
-      mObject = &aBody.get_object();
-    } else {
-      Add(InvalidField, "", aBody, "an object");
-    }
-  }
-
-  /// The value of a field; reports a missing one when `aRequired`.
-  const json::value* Find(std::string_view aName, bool aRequired)
-  {
-    mKnown.push_back(aName);
-    const auto* value =
-      mObject == nullptr ? nullptr : mObject->if_contains(aName);
-    if (value == nullptr && mObject != nullptr && aRequired) {
-      Add(InvalidField, PointerPart(aName), nullptr, "required");
-    }
-    return value;
   }
 
   Labels ReadLabels(std::string_view aName, bool aKind)
   {
     Labels labels;
-    const auto* value = Find(aName, true);
+    const auto* value = mFields.Take(aName, true, kRequired);
     if (value == nullptr) {
       return labels;
     }
-    const auto pointer = PointerPart(aName);
     const auto* object = value->if_object();
     if (object == nullptr || object->size() > kMaxLabels) {
-      Add(InvalidField, pointer, *value, "an object of at most 64 labels");
+      mFields.Fail(aName, "an object of at most 64 labels");
       return labels;
     }
+    const auto pointer = mFields.PointerTo(aName);
     for (const auto& it : *object) {
       const auto* text = it.value().if_string();
       if (it.key().empty() || !IsLabelText(it.key(), "._-/")) {
-        Add(InvalidField,
-            pointer + PointerPart(it.key()),
+        Add(Pointer(pointer, it.key()),
             it.value(),
             "a name of 1 to 63 characters of A-Z, a-z, 0-9 and ._-/");
       } else if (text == nullptr || !IsLabelText(*text, "._-")) {
-        Add(InvalidField,
-            pointer + PointerPart(it.key()),
+        Add(Pointer(pointer, it.key()),
             it.value(),
             "a string of at most 63 characters of A-Z, a-z, 0-9 and ._-");
       } else {
@@ -155,24 +107,24 @@
       }
     }
     if (aKind && !object->contains("kind")) {
-      Add(InvalidField, pointer + "/kind", nullptr, "required");
+      Add(pointer + "/kind", nullptr, kRequired);
     } else if (aKind && labels.contains("kind") &&
                labels.find("kind")->second.empty()) {
-      Add(InvalidField, pointer + "/kind", "", "a string that is not empty");
+      Add(pointer + "/kind", "", "a string that is not empty");
     }
     return labels;
   }
 
   milliseconds ReadDeadline()
   {
-    const auto* value = Find("deadline_ms", false);
+    const auto* value = mFields.Take("deadline_ms");
     if (value == nullptr) {
       return kDefaultDeadline;
     }
     json::error_code ec;
     const auto n = value->is_number() ? value->to_number<std::int64_t>(ec) : 0;
     if (ec || n < 1 || n > kMaxDeadline.count()) {
-      Add(InvalidField, "/deadline_ms", *value, "an integer from 1 to 10000");
+      mFields.Fail("deadline_ms", "an integer from 1 to 10000");
       return kDefaultDeadline;
     }
     return milliseconds(n);
@@ -180,14 +132,14 @@
 
   double ReadCoverage()
   {
-    const auto* value = Find("min_coverage", false);
+    const auto* value = mFields.Take("min_coverage");
     if (value == nullptr) {
       return 0;
     }
     json::error_code ec;
     const auto n = value->is_number() ? value->to_number<double>(ec) : -1;
     if (ec || !(n >= 0 && n <= 1)) {
-      Add(InvalidField, "/min_coverage", *value, "a number from 0 to 1");
+      mFields.Fail("min_coverage", "a number from 0 to 1");
       return 0;
     }
     return n;
@@ -195,13 +147,13 @@
 
   std::string ReadShard()
   {
-    const auto* value = Find("shard", true);
+    const auto* value = mFields.Take("shard", true, kRequired);
     if (value == nullptr) {
       return {};
     }
     const auto* text = value->if_string();
     if (text == nullptr || text->empty() || text->size() > kMaxShardName) {
-      Add(InvalidField, "/shard", *value, "a string of 1 to 128 bytes");
+      mFields.Fail("shard", "a string of 1 to 128 bytes");
       return {};
     }
     return { text->data(), text->size() };
@@ -209,7 +161,7 @@
 
   TicketId ReadTicket()
   {
-    const auto* value = Find("ticket", true);
+    const auto* value = mFields.Take("ticket", true, kRequired);
     if (value == nullptr) {
       return {};
     }
@@ -223,37 +175,36 @@
                            },
                            [] { return false; });
     if (!valid) {
-      Add(InvalidTicket,
-          "/ticket",
-          *value,
-          "a ticket of the form instance.incarnation.number");
+      mFields.Fail("ticket",
+                   "a ticket of the form instance.incarnation.number");
+      mInvalidTickets = 1;
     }
     return ticket;
   }
 
   std::string ReadJson(std::string_view aName, std::string_view aBody)
   {
-    return Find(aName, true) == nullptr
+    return mFields.Take(aName, true, kRequired) == nullptr
              ? std::string{}
              : CanonicalText(MemberText(aBody, aName));
   }
 
-  /// Reports unknown fields. An error when anything was reported.
+  /// Reports unknown fields. An error when anything was reported:
+  /// `InvalidField` tells more than `UnknownField`, and either more than
+  /// `InvalidTicket`, which is used when nothing else is wrong.
   Result<void> Finish()
   {
-    if (mObject != nullptr) {
-      for (const auto& it : *mObject) {
-        if (std::find(mKnown.begin(), mKnown.end(), it.key()) == mKnown.end()) {
-          Add(UnknownField,
-              PointerPart(it.key()),
-              it.value(),
-              fmt::format("one of {}", fmt::join(mKnown, ", ")));
-        }
-      }
-    }
+    const auto invalid = mError.fields.size();
+    mFields.Finish();
     if (mError.fields.empty()) {
       return {};
     }
+    if (invalid > mInvalidTickets) {
+      mError.code = InvalidField;
+    } else {
+      mError.code =
+        mError.fields.size() > invalid ? UnknownField : InvalidTicket;
+    }
     mError.message = fmt::format("{} invalid field(s); the first is {}: {}",
                                  mError.fields.size(),
                                  mError.fields.front().pointer,
@@ -262,24 +213,19 @@
   }
 
 private:
-  /// `InvalidField` tells more than `UnknownField`, and either more than
-  /// `InvalidTicket`, which is used when nothing else is wrong.
-  void Add(ResultCode aCode,
-           std::string aPointer,
+  static constexpr std::string_view kRequired = "required";
+
+  void Add(std::string aPointer,
            const json::value& aSeen,
-           std::string aAllowed)
+           std::string_view aAllowed)
   {
-    if (mError.fields.empty() || aCode < mError.code) {
-      mError.code = aCode;
-    }
-    mError.fields.push_back({ std::move(aPointer),
-                              Shorten(json::serialize(aSeen)),
-                              std::move(aAllowed) });
+    mError.fields.push_back(
+      { std::move(aPointer), Shown(aSeen), std::string(aAllowed) });
   }
 
-  const json::object* mObject = nullptr;
-  std::vector<std::string_view> mKnown;
   Error mError;
+  JsonFields mFields;
+  std::size_t mInvalidTickets = 0;
 };
 
 void AppendString(std::string& aText, std::string_view aValue)
