--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -5,7 +5,10 @@
 namespace bronzedeal {
 
 enum class ResultCode : int;
+class JsonFields;
 struct Error;
+struct FieldError;
+struct SliceId;
 
 namespace version {
 class Selector;
@@ -13,6 +16,9 @@
 class SnapshotHolder;
 class WorkLedger;
 struct Document;
+struct Replica;
+struct RoutePlan;
+struct ServerInfo;
 } // namespace version
 
 namespace process {
@@ -23,6 +29,9 @@
 class LeaseVoter;
 class Membership;
 class Metrics;
+class WithdrawalReport;
+struct Member;
+struct RosterEntry;
 struct Settings;
 } // namespace process
 
@@ -35,13 +44,35 @@
 } // namespace connection
 
 namespace request {
+class AddressAnswer;
 class Admission;
 class HedgeBudget;
 class LatencyDigest;
+class LatencyDigests;
 class Quarantine;
 class QueryRun;
 class ReplicaChooser;
 class TicketTable;
+struct QueryAnswer;
+struct ServerLoad;
 } // namespace request
 
+namespace daemon {
+class AttemptRouter;
+class ControlPlane;
+class FleetViewHolder;
+class HttpServer;
+class LeaseTable;
+class Node;
+class OperationService;
+class OwnerExecutor;
+class PlatformClient;
+class QueryService;
+struct FleetView;
+struct HttpRequest;
+struct HttpResponse;
+struct OwnerAttempt;
+struct OwnerResult;
+} // namespace daemon
+
 } // namespace bronzedeal
--- /dev/null
+++ b/tests/daemon/headers_test.cpp
@@ -0,0 +1,77 @@
+#include "bronzedeal/fwd.hpp"
+
+#include "bronzedeal/bronzedeal.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace bronzedeal {
+namespace {
+
+namespace fs = std::filesystem;
+
+const fs::path kInclude = fs::path(BRONZEDEAL_SOURCE_DIR) / "include";
+
+std::vector<std::string> LinesOf(const fs::path& aFile)
+{
+  std::ifstream file(aFile);
+  std::vector<std::string> lines;
+  for (std::string it; std::getline(file, it);) {
+    lines.push_back(it);
+  }
+  return lines;
+}
+
+/// The classes that the lines declare at the begin of a line, with a semicolon
+/// or without, but not those of generated messages.
+std::set<std::string> ClassesOf(const std::vector<std::string>& aLines,
+                                bool aForward)
+{
+  std::set<std::string> classes;
+  bool skipped = false;
+  for (const auto& it : aLines) {
+    if (it.starts_with("namespace ")) {
+      skipped = it.find("::peer ") != std::string::npos;
+    }
+    if (!skipped && it.starts_with("class ") && it.ends_with(';') == aForward) {
+      classes.insert(it.substr(0, it.find_last_not_of(';') + 1));
+    }
+  }
+  return classes;
+}
+
+// Guards against a public header that the umbrella header lacks, and against a
+// class that fwd.hpp lacks or that no longer exists. That both compile is
+// checked by compiling this file.
+TEST(Headers, UmbrellaAndForwardDeclarationsAreComplete)
+{
+  const auto umbrella = LinesOf(kInclude / "bronzedeal/bronzedeal.hpp");
+  std::set<std::string> classes;
+  for (const auto& it :
+       fs::recursive_directory_iterator(kInclude / "bronzedeal")) {
+    if (it.path().extension() != ".hpp") {
+      continue;
+    }
+    const auto lines = LinesOf(it.path());
+    classes.merge(ClassesOf(lines, false));
+    // Umbrella headers hold nothing of their own.
+    const bool content =
+      std::any_of(lines.begin(), lines.end(), [](const auto& aLine) {
+        return aLine.starts_with("namespace ");
+      });
+    const auto name = fs::relative(it.path(), kInclude).string();
+    if (content && name != "bronzedeal/fwd.hpp") {
+      EXPECT_NE(std::find(umbrella.begin(),
+                          umbrella.end(),
+                          "#include \"" + name + "\""),
+                umbrella.end())
+        << name;
+    }
+  }
+  EXPECT_EQ(classes, ClassesOf(LinesOf(kInclude / "bronzedeal/fwd.hpp"), true));
+}
+
+} // namespace
+} // namespace bronzedeal
