Split the reads of the platform off the control plane

Cause: control_plane.cpp drove the state machines and also kept the state of the reads of configuration and instance list. Change: PlatformReader does the reads on the control plane's strand.

--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -20,6 +20,7 @@
 #include "bronzedeal/daemon/operation_service.hpp"
 #include "bronzedeal/daemon/owner_executor.hpp"
 #include "bronzedeal/daemon/platform_client.hpp"
+#include "bronzedeal/daemon/platform_reader.hpp"
 #include "bronzedeal/daemon/query_service.hpp"
 #include "bronzedeal/error.hpp"
 #include "bronzedeal/json_fields.hpp"
--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -67,6 +67,7 @@
 class OperationService;
 class OwnerExecutor;
 class PlatformClient;
+class PlatformReader;
 class QueryService;
 struct FleetView;
 struct HttpRequest;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -2,7 +2,7 @@
 
 #include "bronzedeal/daemon/codec.hpp"
 #include "bronzedeal/daemon/instance_list.hpp"
-#include "bronzedeal/daemon/platform_client.hpp"
+#include "bronzedeal/daemon/platform_reader.hpp"
 #include "bronzedeal/peer.pb.h"
 #include "bronzedeal/process/config_distributor.hpp"
 #include "bronzedeal/process/fence.hpp"
@@ -33,9 +33,6 @@
 constexpr milliseconds kTickInterval{ 50 };
 constexpr std::chrono::seconds kReaderWindow{ 10 };
 constexpr milliseconds kListWait{ 25'000 };
-// An answer may take this much longer than the wait that was asked for.
-constexpr milliseconds kReadGrace{ 2'000 };
-constexpr milliseconds kListRetry{ 500 };
 // Between two requests for the instance list to the same or another peer.
 constexpr milliseconds kRosterPullInterval{ 250 };
 
@@ -75,7 +72,7 @@
     , hooks(std::move(aHooks))
     , strand(boost::asio::make_strand(aContext))
     , timer(strand)
-    , platform(aContext, aSettings.platformAddress)
+    , platform(aContext, strand, aSettings.platformAddress, aMetrics)
     , membership(std::move(aSelf), aIncarnation, Seeded(aIncarnation))
     , voter(aSettings.instance, SteadyClock::now())
     , holder(aSettings.instance)
@@ -130,7 +127,7 @@
 
   boost::asio::strand<boost::asio::io_context::executor_type> strand;
   boost::asio::steady_timer timer;
-  PlatformClient platform;
+  PlatformReader platform;
 
   // All below is used on the strand only.
   Membership membership;
@@ -142,9 +139,6 @@
   bool stopped = false;
   bool leaving = false;
   bool paused = false;
-  std::uint64_t readNumber = 0;
-  bool listReadOpen = false;
-  TimePoint nextListRead{};
   TimePoint nextRosterPull{};
   std::string listText;
   std::set<ServerId> leavingServers;
@@ -500,7 +494,7 @@
     PutInForce(it);
   }
   if (aActions.cancelRead) {
-    ++readNumber;
+    platform.ForgetConfig();
   }
   if (aActions.read) {
     StartRead(*aActions.read);
@@ -543,32 +537,15 @@
 
 void ControlPlane::Impl::StartRead(const ServiceRead& aRead)
 {
-  metrics.Add(Counter::PlatformReads);
-  const auto number = ++readNumber;
-  platform.Get(
-    fmt::format(
-      "/v1/config?after={}&wait_ms={}", aRead.after, aRead.wait.count()),
-    aRead.wait + kReadGrace,
-    [weak = weak_from_this(), number](PlatformClient::Answer aAnswer) {
+  platform.ReadConfig(
+    aRead, [weak = weak_from_this()](const ServiceAnswer& aAnswer) {
       const auto self = weak.lock();
-      if (!self) {
+      if (!self || self->stopped) {
         return;
       }
-      boost::asio::post(
-        self->strand, [self, number, answer = std::move(aAnswer)]() mutable {
-          if (self->stopped || number != self->readNumber) {
-            return;
-          }
-          ServiceAnswer result;
-          result.status = answer.status == 200   ? ServiceStatus::Document
-                          : answer.status == 304 ? ServiceStatus::NoneNewer
-                                                 : ServiceStatus::Failed;
-          result.text = std::move(answer.body);
-          ConfigActions actions;
-          self->distributor.OnServiceAnswer(
-            result, SteadyClock::now(), actions);
-          self->Apply(actions);
-        });
+      ConfigActions actions;
+      self->distributor.OnServiceAnswer(aAnswer, SteadyClock::now(), actions);
+      self->Apply(actions);
     });
 }
 
@@ -593,7 +570,7 @@
     membership.Roster().begin(),
     membership.Roster().end(),
     [&](const RosterEntry& aEntry) { return aEntry.id == settings.instance; });
-  if (!listReadOpen && aNow >= nextListRead && (!listed || IsReader())) {
+  if (platform.MayReadList(aNow) && (!listed || IsReader())) {
     StartListRead(listed ? kListWait : milliseconds(0));
   }
   if (aNow < nextRosterPull) {
@@ -615,31 +592,14 @@
 
 void ControlPlane::Impl::StartListRead(milliseconds aWait)
 {
-  metrics.Add(Counter::PlatformReads);
-  listReadOpen = true;
-  platform.Get(fmt::format("/v1/instances?after={}&wait_ms={}",
-                           membership.Revision(),
-                           aWait.count()),
-               aWait + kReadGrace,
-               [weak = weak_from_this()](PlatformClient::Answer aAnswer) {
-                 const auto self = weak.lock();
-                 if (!self) {
-                   return;
-                 }
-                 boost::asio::post(
-                   self->strand, [self, answer = std::move(aAnswer)] {
-                     if (self->stopped) {
-                       return;
-                     }
-                     self->listReadOpen = false;
-                     self->nextListRead =
-                       SteadyClock::now() +
-                       (answer.status == 200 ? milliseconds(0) : kListRetry);
-                     if (answer.status == 200) {
-                       self->TakeList(answer.body);
-                     }
-                   });
-               });
+  platform.ReadList(membership.Revision(),
+                    aWait,
+                    [weak = weak_from_this()](const std::string& aText) {
+                      const auto self = weak.lock();
+                      if (self && !self->stopped) {
+                        self->TakeList(aText);
+                      }
+                    });
 }
 
 void ControlPlane::Impl::TakeList(const std::string& aText)
