Keep a cold server busy up to its allowance

Change: half of the choices go to it while its allowance is not used up, by the own attempts in flight and the load that its owner reported.

--- a/include/bronzedeal/request/replica_chooser.hpp
+++ b/include/bronzedeal/request/replica_chooser.hpp
@@ -33,9 +33,10 @@
     Duration latencyHalfLife = std::chrono::seconds(2);
     /// How long an answer's allowance below the slots marks a server as cold.
     Duration coldFor = std::chrono::seconds(5);
-    /// Share of choices that go to a cold server beside a warm one: without
-    /// completions it would never become warm.
-    std::uint32_t coldPercent = 5;
+    /// Share of choices that go to a cold server beside a warm one while its
+    /// allowance is not used up: it becomes warm only by completions. With 5%
+    /// a server took 4 times the ideal time to become warm.
+    std::uint32_t coldPercent = 50;
     /// Queued requests per slot from which a server counts as saturated.
     std::uint32_t saturatedQueue = 4;
     /// How long a refusal (shed, overloaded) marks a server as saturated.
@@ -127,6 +128,9 @@
   [[nodiscard]] bool Saturated(const Server& aServer,
                                TimePoint aNow) const noexcept;
   [[nodiscard]] bool Cold(const Server& aServer, TimePoint aNow) const noexcept;
+  /// A cold server that its allowance leaves idle, as far as is known here.
+  [[nodiscard]] bool HasRoom(const Server& aServer,
+                             TimePoint aNow) const noexcept;
   static void Observe(Server& aServer,
                       Duration aLatency,
                       TimePoint aNow) noexcept;
--- a/src/request/replica_chooser.cpp
+++ b/src/request/replica_chooser.cpp
@@ -79,6 +79,16 @@
          aNow - aServer.loadAt < mOptions.coldFor;
 }
 
+bool ReplicaChooser::HasRoom(const Server& aServer,
+                             TimePoint aNow) const noexcept
+{
+  const auto reported =
+    Decay(aNow - aServer.loadAt, mOptions.loadHalfLife) *
+    static_cast<double>(aServer.load.inFlight + aServer.load.queued);
+  return std::max(static_cast<double>(aServer.inFlight), reported) <
+         static_cast<double>(aServer.load.allowance);
+}
+
 int ReplicaChooser::Avoidance(const Server& aServer,
                               TimePoint aNow) const noexcept
 {
@@ -133,7 +143,7 @@
   const auto n = std::min(aCandidates.size(), usable.size());
   for (std::size_t i = 0; i < n; ++i) {
     const auto avoidance = Avoidance(mServers[aCandidates[i]], aNow);
-    if (avoidance == kColdClass) {
+    if (avoidance == kColdClass && HasRoom(mServers[aCandidates[i]], aNow)) {
       cold[coldCount++] = static_cast<std::uint8_t>(i);
     }
     if (avoidance < lowest) {
@@ -144,7 +154,7 @@
       usable[usableCount++] = static_cast<std::uint8_t>(i);
     }
   }
-  // A cold server that gets no work never becomes warm.
+  // A cold server becomes warm only by completions; one with room is kept busy.
   if (lowest == 0 && coldCount > 0 && Random(100) < mOptions.coldPercent) {
     return cold[Random(static_cast<std::uint32_t>(coldCount))];
   }
