Quarantine test: no gap at a peer while callers renew

Cause: with the renewal of a merged entry removed, the test still passed, because the peer learned the entry anew after a gap.

--- a/tests/request/quarantine_test.cpp
+++ b/tests/request/quarantine_test.cpp
@@ -139,6 +139,7 @@
   for (int i = 1; i <= 10; ++i) {
     const auto now = kStart + seconds(10 * i);
     ASSERT_EQ(table.Admit(bad, now), Quarantined);
+    ASSERT_EQ(peer.StateOf(bad, now), Quarantined) << "no gap at the peer";
     exchange(now);
   }
   EXPECT_EQ(peer.StateOf(bad, kStart + seconds(110)), Quarantined);
