--- a/src/daemon/attempt_router.cpp
+++ b/src/daemon/attempt_router.cpp
@@ -342,7 +342,7 @@
   mImpl->ReportLost(mImpl->TakeIf([&](const Impl::Forwarded& aEntry) {
     return aEntry.peer == aPeer;
   }),
-                    ResultCode::ShardServerLost);
+                    ResultCode::OutcomeUnknown);
 }
 
 void AttemptRouter::Expire(TimePoint aNow)
