Close connections that are accepted while the HTTP server stops

Cause: a session that was registered after StopAccepting had looked through the sessions, or before its first read, was missed, or read a parser that did not exist yet, and stayed open until its idle timeout of 120 s. Change: a session starts on its strand and ends at once when the server was stopped.

--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -1,6 +1,7 @@
 #include "bronzedeal/daemon/http_server.hpp"
 
 #include <atomic>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
@@ -117,6 +118,19 @@
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
+  /// Serves the connection, unless the server was stopped meanwhile. On the
+  /// strand, since `CloseIfIdle` may already be on its way.
+  void Start()
+  {
+    asio::dispatch(mStream.get_executor(), [self = shared_from_this()] {
+      if (self->mServer->stopped.load()) {
+        self->Shutdown();
+      } else {
+        self->Read();
+      }
+    });
+  }
+
   void Read()
   {
     mParser.emplace();
@@ -134,8 +148,8 @@
   void CloseIfIdle()
   {
     asio::post(mStream.get_executor(), [self = shared_from_this()] {
-      const bool idle =
-        !self->mBusy && self->mBuffer.size() == 0 && !self->mParser->got_some();
+      const bool idle = !self->mBusy && self->mBuffer.size() == 0 &&
+                        !(self->mParser && self->mParser->got_some());
       if (idle) {
         self->Shutdown();
       }
@@ -244,7 +258,7 @@
         return;
       }
       if (!aError) {
-        std::make_shared<Session>(std::move(aSocket), self)->Read();
+        std::make_shared<Session>(std::move(aSocket), self)->Start();
       }
       self->Accept();
     });
--- a/tests/daemon/http_server_test.cpp
+++ b/tests/daemon/http_server_test.cpp
@@ -167,6 +167,25 @@
   EXPECT_EQ(0U, busy.Read().result_int());
 }
 
+// Guards against a connection that is accepted while the server stops and stays
+// open until its idle timeout. The window is short, hence the repetitions.
+TEST(HttpServerStop, ClosesConnectionsBeingAccepted)
+{
+  asio::io_context context;
+  const auto guard = asio::make_work_guard(context);
+  std::thread first([&] { context.run(); });
+  std::thread second([&] { context.run(); });
+  for (int n = 0; n < 2000; ++n) {
+    HttpServer server(context, "127.0.0.1:0", [](const auto&, const auto&) {});
+    Client client(server.Address());
+    server.StopAccepting();
+    EXPECT_EQ(0U, client.Read().result_int());
+  }
+  context.stop();
+  first.join();
+  second.join();
+}
+
 // Guards against callers that keep a connection to an instance that leaves.
 TEST_F(HttpServerTest, AsksToCloseWhileDraining)
 {
