--- a/include/bronzedeal/process/membership.hpp
+++ b/include/bronzedeal/process/membership.hpp
@@ -29,15 +29,16 @@
   std::size_t pushFanout = 2;
   Duration pushInterval = milliseconds(100);
   std::size_t piggybackBytes = 1200;
-  /// Each update is sent this many times by each member that learns it. Push
-  /// gossip with k sends misses a member with probability e^-k, and the
-  /// refreshed records of pings reach those.
+  /// Each full record is sent this many times by each member that learns it.
+  /// Push gossip with k sends misses a member with probability e^-k; a sync
+  /// repairs that.
   unsigned retransmits = 6;
-  /// Bytes of each ping and acknowledgement that refresh records in turn.
-  std::size_t refreshBytes = 160;
-  /// An unknown record that progress entries refer to is asked for after this
-  /// time, when gossip has not brought it.
-  Duration syncDelay = milliseconds(500);
+  /// Pushes carry the map of versions for this long after its last change.
+  Duration mapSpread = milliseconds(600);
+  /// Otherwise one in this many pings and acknowledgements carries it.
+  unsigned mapInterval = 8;
+  /// A difference of full records that lasts this long is repaired.
+  Duration syncDelay = milliseconds(1000);
   std::uint64_t seed = 1;
 };
 
@@ -47,9 +48,10 @@
 {
   /// Entries of the roster, the own instance included.
   std::size_t roster = 0;
-  /// Entries that were probed or heard from within the window, self included.
+  /// Entries that were probed or reported within the window, self included; in
+  /// a small roster all entries.
   std::size_t tried = 0;
-  /// Entries that a message came from within the window, self included.
+  /// Those of them that a message came from within the window.
   std::size_t heard = 0;
   /// Entries that sent their own record within the window, self included; only
   /// these have stated their configuration version.
@@ -62,7 +64,7 @@
 [[nodiscard]] bool ReachesHalf(const Contact& aContact) noexcept;
 
 /// True when enough members have reported to join or rejoin: more than half of
-/// the roster, or of a sample of at least 15.
+/// the roster, or of a sample of at least 12.
 [[nodiscard]] bool ReachesMajority(const Contact& aContact) noexcept;
 
 /// What an instance announces about itself.
@@ -73,6 +75,9 @@
   bool fenced = false;
   bool leaving = false;
   std::vector<SliceId> slices;
+  /// Oldest version with unfinished work, 0 for none. Work counts under the
+  /// version that was in force when it began, so that this never falls below
+  /// what was announced before.
   ConfigVersion oldestActiveVersion = 0;
 };
 
@@ -105,7 +110,8 @@
   Membership& operator=(Membership&&) noexcept;
 
   /// Takes a published list; a revision that is not higher is ignored. Members
-  /// that are no longer listed are forgotten.
+  /// that are no longer listed are forgotten. Of entries with the same id one
+  /// is kept.
   void SetRoster(RosterRevision aRevision,
                  std::vector<RosterEntry> aEntries,
                  TimePoint aNow);
@@ -126,7 +132,7 @@
                   Incarnation aIncarnation,
                   TimePoint aNow);
 
-  /// Changes the own record; a new sequence is used only when a value differs.
+  /// Changes the own record. Versions that are lower than before are ignored.
   void UpdateSelf(const SelfState& aState);
 
   [[nodiscard]] const Member& Self() const noexcept;
--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -54,7 +54,7 @@
 std::string QueryParameter(std::string_view aQueryString,
                            std::string_view aName)
 {
-  // The parsed view refers to the text.
+  // The parsed view refers to this text.
   const auto target = "/?" + std::string(aQueryString);
   const auto url = boost::urls::parse_origin_form(target);
   if (!url) {
--- a/src/daemon/server_agent.cpp
+++ b/src/daemon/server_agent.cpp
@@ -191,6 +191,7 @@
                           OwnerExecutor::Handler aHandler)
 {
   Deferred deferred;
+  bool queued = false;
   {
     const std::lock_guard lock(mMutex);
     if (mByKey.contains(aAttempt.key)) {
@@ -203,11 +204,13 @@
     attempt->receivedAt = now;
     const auto& context = *attempt->request.context;
     // The count begins before the check, so that a report of "complete" never
-    // misses work that passed the check.
-    attempt->token = mEnvironment.ledger.Begin(context.configVersion,
-                                               context.selector,
-                                               mServer.failureDomain,
-                                               WorkKind::Queued);
+    // misses work that passed the check. It begins under the own version in
+    // force, by which the send is judged, not under that of the entry instance.
+    attempt->token =
+      mEnvironment.ledger.Begin(mEnvironment.snapshots.Load()->Version(),
+                                context.selector,
+                                mServer.failureDomain,
+                                WorkKind::Queued);
     const auto code =
       mLimiter.Draining() ? ResultCode::NotRunLeaving : Check(*attempt, now);
     if (code != ResultCode::Ok) {
@@ -220,9 +223,13 @@
       mQueue.Push({ id, context.deadline, now }, Estimate(), now, notRun);
       RefuseQueued(notRun, ResultCode::NotRunOverloaded, deferred);
       Pump(now, deferred);
+      queued = mQueue.size() > 0;
     }
   }
   Run(std::move(deferred));
+  if (queued) {
+    mEnvironment.queued();
+  }
 }
 
 void ServerAgent::Refuse(const AttemptPtr& aAttempt,
@@ -301,10 +308,7 @@
   std::uint64_t id = 0;
   {
     const std::lock_guard lock(mMutex);
-    if (!mPool) {
-      mPool = std::make_shared<connection::ServerPool>(mEnvironment.context,
-                                                       PoolOptions());
-    }
+    EnsurePool();
     pool = mPool;
     id = mByKey.at(key);
   }
@@ -475,17 +479,15 @@
   return true;
 }
 
-void ServerAgent::ExpireQueue(TimePoint aNow)
+bool ServerAgent::ExpireQueue(TimePoint aNow)
 {
   Deferred deferred;
+  bool left = false;
   {
     const std::lock_guard lock(mMutex);
     if (mLimiter.Draining() && !mListedLeaving && aNow >= mDrainingUntil) {
       mLimiter.SetDraining(false);
     }
-    if (mQueue.size() == 0) {
-      return;
-    }
     std::vector<connection::QueueEntry> notRun;
     if (mLimiter.Draining()) {
       mQueue.Clear(notRun);
@@ -494,8 +496,10 @@
       mQueue.Expire(Estimate(), aNow, notRun);
       RefuseQueued(notRun, ResultCode::NotRunDeadline, deferred);
     }
+    left = mQueue.size() > 0;
   }
   Run(std::move(deferred));
+  return left;
 }
 
 void ServerAgent::Update(const version::ServerInfo& aServer,
@@ -528,7 +532,10 @@
       mLimiter.ConnectionLost(aNow);
     }
     mSendable = aSendable;
-    if (!aSendable) {
+    if (aSendable) {
+      // Connections are opened before the first request needs one.
+      EnsurePool();
+    } else {
       std::vector<connection::QueueEntry> notRun;
       mQueue.Clear(notRun);
       RefuseQueued(notRun, ResultCode::NotRunNoOwner, deferred);
@@ -552,6 +559,14 @@
   Run(std::move(deferred));
 }
 
+void ServerAgent::EnsurePool()
+{
+  if (!mPool) {
+    mPool = std::make_shared<connection::ServerPool>(mEnvironment.context,
+                                                     PoolOptions());
+  }
+}
+
 void ServerAgent::ClosePoolIfDone()
 {
   if (!mSendable && mInFlight.empty() && mPool) {
