Adapt the number of queries in progress to the load

Change: additive increase and multiplicative decrease of the limit, by full queues, missed deadlines and queries that used up half of their time. Attempts to an owner whose stream broke are refused as not run until it is heard from, and servers of suspect owners are chosen last.

--- a/include/bronzedeal/daemon/attempt_router.hpp
+++ b/include/bronzedeal/daemon/attempt_router.hpp
@@ -65,8 +65,11 @@
                 Incarnation aIncarnation,
                 std::span<const request::AttemptId> aAttempts);
   void OnResponse(const InstanceId& aFrom, peer::SubResponse&& aResponse);
-  /// The stream to a peer broke: its outstanding attempts are reported lost.
+  /// The stream to a peer broke: its outstanding attempts are reported lost,
+  /// and further ones are refused as not run until the peer is heard from.
   void OnBreak(const InstanceId& aPeer);
+  /// A message from the peer arrived.
+  void OnAlive(const InstanceId& aPeer);
 
   /// Gives up responses that are overdue; call it every 50 ms or so.
   void Expire(TimePoint aNow);
--- a/include/bronzedeal/daemon/fleet_view.hpp
+++ b/include/bronzedeal/daemon/fleet_view.hpp
@@ -34,6 +34,19 @@
     return it == owners.end() ? nullptr : &it->second;
   }
 
+  /// False also for an owner that has missed a probe: its servers are used only
+  /// when no other replica is left.
+  [[nodiscard]] bool HasResponsiveOwner(const SliceId& aSlice) const
+  {
+    const auto* owner = OwnerOf(aSlice);
+    if (owner == nullptr || *owner == self) {
+      return owner != nullptr;
+    }
+    const auto* member = Find(*owner);
+    return member != nullptr &&
+           member->status != process::MemberStatus::Suspect;
+  }
+
   [[nodiscard]] const process::Member* Find(const InstanceId& aId) const
   {
     for (const auto& it : members) {
--- a/src/daemon/attempt_router.cpp
+++ b/src/daemon/attempt_router.cpp
@@ -4,8 +4,10 @@
 #include "bronzedeal/peer.pb.h"
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 #include <xxhash.h>
 
@@ -104,6 +106,19 @@
   ResultHandler handler;
   mutable std::mutex mutex;
   std::unordered_map<request::AttemptId, Forwarded> forwarded;
+  /// Peers whose stream broke and that have not been heard from since. The
+  /// transport would queue messages to them until the deadline.
+  std::set<InstanceId> broken;
+  std::atomic<bool> anyBroken{ false };
+
+  [[nodiscard]] bool IsBroken(const InstanceId& aPeer)
+  {
+    if (!anyBroken.load()) {
+      return false;
+    }
+    const std::lock_guard lock(mutex);
+    return broken.contains(aPeer);
+  }
 
   void Report(request::AttemptId aAttempt, ResultCode aCode) const
   {
@@ -218,6 +233,7 @@
                     aMetrics,
                     {},
                     {},
+                    {},
                     {} })
 {
 }
@@ -237,7 +253,7 @@
   std::map<InstanceId, std::vector<const RoutedAttempt*>> remote;
   for (const auto& it : aAttempts) {
     const auto* owner = fleet->OwnerOf(it.slice);
-    if (owner == nullptr) {
+    if (owner == nullptr || mImpl->IsBroken(*owner)) {
       mImpl->Report(it.attempt, ResultCode::NotRunNoOwner);
     } else if (*owner == mImpl->self) {
       mImpl->SendLocal(aContext, it);
@@ -337,8 +353,23 @@
   mImpl->handler(attempt, std::move(result));
 }
 
+void AttemptRouter::OnAlive(const InstanceId& aPeer)
+{
+  if (!mImpl->anyBroken.load()) {
+    return;
+  }
+  const std::lock_guard lock(mImpl->mutex);
+  mImpl->broken.erase(aPeer);
+  mImpl->anyBroken.store(!mImpl->broken.empty());
+}
+
 void AttemptRouter::OnBreak(const InstanceId& aPeer)
 {
+  {
+    const std::lock_guard lock(mImpl->mutex);
+    mImpl->broken.insert(aPeer);
+    mImpl->anyBroken.store(true);
+  }
   mImpl->ReportLost(mImpl->TakeIf([&](const Impl::Forwarded& aEntry) {
     return aEntry.peer == aPeer;
   }),
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -280,6 +280,7 @@
 {
   const auto& from = aEnvelope.sender();
   const auto senderIncarnation = aEnvelope.sender_incarnation();
+  router.OnAlive(from);
   switch (aEnvelope.body_case()) {
     case peer::Envelope::kSubRequestBatch:
       if (Known(aEnvelope)) {
--- a/src/daemon/query_service.cpp
+++ b/src/daemon/query_service.cpp
@@ -3,6 +3,7 @@
 #include "address_service.hpp"
 #include "bronzedeal/request/admission.hpp"
 #include "bronzedeal/request/caller_request.hpp"
+#include "bronzedeal/request/concurrency_limit.hpp"
 #include "bronzedeal/request/hedge_budget.hpp"
 #include "bronzedeal/request/latency_digest.hpp"
 #include "bronzedeal/request/query_run.hpp"
@@ -46,6 +47,7 @@
   HttpReply reply;
   QueryRequest request;
   std::string admissionKey;
+  TimePoint admittedAt;
   Fingerprint fingerprint{};
   ContentState content = ContentState::Unproven;
   TimePoint start;
@@ -89,6 +91,9 @@
   void Begin(const QueryPtr& aQuery);
   void Perform(const QueryPtr& aQuery, std::vector<QueryAction> aActions);
   void Complete(const QueryPtr& aQuery, QueryAnswer aAnswer);
+  void NoteLoad(const ActiveQuery& aQuery,
+                const QueryAnswer& aAnswer,
+                TimePoint aNow);
   QueryPtr Restart(const QueryPtr& aQuery);
   void Refuse(const QueryPtr& aQuery, ResultCode aCode);
   void End(const QueryPtr& aQuery);
@@ -111,6 +116,7 @@
   ReplicaChooser chooser;
   Quarantine quarantine;
   Admission admission;
+  ConcurrencyLimit concurrency;
   boost::asio::steady_timer admissionTimer;
   std::uint64_t nextQuery = 1;
   std::uint64_t nextRun = 1;
@@ -253,6 +259,7 @@
     return;
   }
   const auto now = SteadyClock::now();
+  aQuery->admittedAt = now;
   auto shared = std::make_shared<AttemptContext>();
   shared->configVersion = plan->configVersion;
   shared->indexVersion = plan->indexVersion;
@@ -405,6 +412,23 @@
   Perform(query, std::move(actions));
 }
 
+void QueryService::Impl::NoteLoad(const ActiveQuery& aQuery,
+                                  const QueryAnswer& aAnswer,
+                                  TimePoint aNow)
+{
+  auto code = aAnswer.code;
+  for (const auto& it : aAnswer.missing) {
+    if (SpeaksOfLoad(it.code)) {
+      code = it.code;
+      break;
+    }
+  }
+  const auto sign = concurrency.SignOf(
+    code, aNow - aQuery.admittedAt, aQuery.deadline - aQuery.admittedAt);
+  concurrency.Finished(sign, admission.InProgress(), aNow);
+  admission.SetLimit(concurrency.Limit());
+}
+
 QueryService::Impl::QueryPtr QueryService::Impl::Restart(const QueryPtr& aQuery)
 {
   // A new object, because other threads may still read the plan of the old one.
@@ -434,6 +458,7 @@
       aQuery->timer->cancel();
       aQuery->armed.reset();
     }
+    NoteLoad(*aQuery, aAnswer, now);
     if (aAnswer.contentSucceeded) {
       quarantine.NoteSuccess(aQuery->fingerprint, aAnswer.missing.empty(), now);
     }
@@ -525,7 +550,8 @@
   }
   const std::lock_guard lock(mImpl->mutex);
   mImpl->budget.SetPercent(content.limits.hedgePercent);
-  mImpl->admission.SetLimit(content.limits.queriesInProgress);
+  mImpl->concurrency.SetHighest(content.limits.queriesInProgress);
+  mImpl->admission.SetLimit(mImpl->concurrency.Limit());
   mImpl->chooser.Retain(servers, SteadyClock::now());
   if (mImpl->servingIndex != content.index.serving) {
     mImpl->servingIndex = content.index.serving;
@@ -540,7 +566,7 @@
   const std::lock_guard lock(mImpl->mutex);
   for (const auto& it : aSnapshot.Servers()) {
     const auto index = mImpl->chooser.IndexOf(it.id, now);
-    mImpl->chooser.SetOwned(index, aFleet.OwnerOf(it.slice) != nullptr);
+    mImpl->chooser.SetOwned(index, aFleet.HasResponsiveOwner(it.slice));
     mImpl->chooser.SetLeaving(index, aFleet.leavingServers.contains(it.id));
   }
 }
--- a/tests/daemon/router_test.cpp
+++ b/tests/daemon/router_test.cpp
@@ -129,6 +129,19 @@
   EXPECT_EQ(3, mMetrics.Value(process::Counter::LateResponses));
 }
 
+// Guards against attempts that wait until their deadline for an owner that has
+// died, although another replica could answer at once.
+TEST_F(RouterTest, BrokenPeersAreNotSentToUntilHeardFrom)
+{
+  mRouter->OnBreak("owner-1");
+  Send(*mRouter, 1, 1);
+  EXPECT_EQ(std::vector{ ResultCode::NotRunNoOwner }, mResults[1]);
+  EXPECT_EQ(0U, mRouter->Outstanding());
+  mRouter->OnAlive("owner-1");
+  Send(*mRouter, 2, 1);
+  EXPECT_EQ(1U, mRouter->Outstanding());
+}
+
 // Guards against "not run" for a request that the owner may have run.
 TEST_F(RouterTest, LostResponsesAreUnknown)
 {
@@ -141,6 +154,7 @@
   mRouter->OnBreak("owner-1");
   EXPECT_EQ(std::vector{ ResultCode::OutcomeUnknown }, mResults[1]);
   EXPECT_EQ(std::vector{ ResultCode::OutcomeUnknown }, mResults[2]);
+  mRouter->OnAlive("owner-1");
   Send(*mRouter, 3, 1);
   mRouter->Expire(mContext->deadline);
   EXPECT_EQ(1U, mRouter->Outstanding());
