Make the withdrawal claim outlive one restart

A joining instance counts itself towards the majority. Change: fewer than half of the list (rounded down) may be dead or lack the version.

--- a/include/bronzedeal/process/withdrawal_report.hpp
+++ b/include/bronzedeal/process/withdrawal_report.hpp
@@ -43,8 +43,9 @@
 {
   /// Too few witnesses of the slice report the version.
   WitnessQuorum,
-  /// Too few members of the roster report the version. An instance that
-  /// restarts takes the highest version of a majority, so a majority keeps it.
+  /// Too few live members of the roster report the version. An instance that
+  /// restarts takes the highest version of a majority; fewer than half of the
+  /// list may lack it, so that it outlives one restart.
   RosterMajority,
   /// The instance is alive and reports a lower version.
   OlderVersion,
--- a/src/process/withdrawal_report.cpp
+++ b/src/process/withdrawal_report.cpp
@@ -113,15 +113,24 @@
   {
     return static_cast<std::size_t>(
       std::count_if(known.begin(), known.end(), [&](const auto& aIt) {
-        return aIt.listed && aIt.record.configVersion >= aVersion;
+        return aIt.listed && !aIt.silent &&
+               aIt.record.configVersion >= aVersion;
       }));
   }
 
+  // True when the version survives one restart: a joining instance hears from
+  // a majority, which includes itself and knows the version unless half of the
+  // list or more lacks it.
+  bool IsKept(std::size_t aReporting) const
+  {
+    const auto lacking = rosterSize - std::min(aReporting, rosterSize);
+    return rosterSize > 0 && (lacking == 0 || lacking < rosterSize / 2);
+  }
+
   // True when requests with a lower version can get no quorum any more.
   bool Refuses(ConfigVersion aVersion) const
   {
-    return rosterSize > 0 && !slices.empty() &&
-           ReportingAll(aVersion) * 2 > rosterSize &&
+    return !slices.empty() && IsKept(ReportingAll(aVersion)) &&
            std::all_of(
              witnesses.begin(), witnesses.end(), [&](const auto& aIt) {
                return Reporting(aIt.second, aVersion) >=
@@ -240,7 +249,7 @@
                         std::vector<WaitItem>& aWaiting) const
   {
     const auto n = ReportingAll(aVersion);
-    if (n * 2 <= rosterSize || slices.empty()) {
+    if (!IsKept(n) || slices.empty()) {
       aWaiting.push_back({ WaitReason::RosterMajority,
                            {},
                            {},
