Don't use an answer that Beast has moved from in a test

Cause: http::read leaves its message moved-from on errors; clang-tidy found the later use in the HTTP server's test. Change: a new answer stands for a closed connection.

--- a/tests/daemon/http_server_test.cpp
+++ b/tests/daemon/http_server_test.cpp
@@ -41,7 +41,9 @@
     boost::system::error_code ec;
     http::read(mSocket, mBuffer, answer, ec);
     if (ec) {
-      answer.result(0U);
+      Answer closed;
+      closed.result(0U);
+      return closed;
     }
     return answer;
   }
