--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -39,6 +39,7 @@
 #include "bronzedeal/request/admission.hpp"
 #include "bronzedeal/request/attempt.hpp"
 #include "bronzedeal/request/caller_request.hpp"
+#include "bronzedeal/request/concurrency_limit.hpp"
 #include "bronzedeal/request/hedge_budget.hpp"
 #include "bronzedeal/request/latency_digest.hpp"
 #include "bronzedeal/request/quarantine.hpp"
--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -46,6 +46,7 @@
 namespace request {
 class AddressAnswer;
 class Admission;
+class ConcurrencyLimit;
 class HedgeBudget;
 class LatencyDigest;
 class LatencyDigests;
