Fall back to the cold allowance on the first refusal of a server

Change: the owner is the only sender and keeps to the slots, so one refusal is proof and the allowance falls back.

--- a/src/connection/server_limiter.cpp
+++ b/src/connection/server_limiter.cpp
@@ -87,15 +87,14 @@
     return;
   }
   if (aOutcome == Outcome::Refused) {
-    mGoodCompletions = 0;
+    // The owner is the only sender and kept to the slots, so one refusal proves
+    // that the server bears less than them.
+    Fall(FallBack::Refusals, aNow);
+    return;
   }
-  // Refusals and slow answers count together: a server that turned cold gives
-  // both in turn, and its sender may need at most three answers to notice.
-  if (aOutcome == Outcome::Refused || slow || aOutcome == Outcome::Lost) {
+  if (slow || aOutcome == Outcome::Lost) {
     if (++mAbnormal >= kConsecutive) {
-      Fall(aOutcome == Outcome::Refused ? FallBack::Refusals
-                                        : FallBack::SlowAnswers,
-           aNow);
+      Fall(FallBack::SlowAnswers, aNow);
     }
   } else if (aOutcome == Outcome::Answered) {
     mAbnormal = 0;
