--- a/include/bronzedeal/request/concurrency_limit.hpp
+++ b/include/bronzedeal/request/concurrency_limit.hpp
@@ -27,7 +27,9 @@
 public:
   struct Options
   {
-    std::size_t lowest = 2;
+    /// With 2, bursts of a few queries were refused while a failure domain was
+    /// out and single replicas with stragglers made queries slow.
+    std::size_t lowest = 8;
     std::size_t first = 16;
     double decrease = 0.8;
     /// The limit falls at most once in this time: queries that were admitted
--- a/tests/request/concurrency_limit_test.cpp
+++ b/tests/request/concurrency_limit_test.cpp
@@ -24,7 +24,7 @@
     now += milliseconds(200);
     limit.Finished(LoadSign::Overloaded, 1, now);
   }
-  EXPECT_EQ(limit.Limit(), 2U);
+  EXPECT_EQ(limit.Limit(), ConcurrencyLimit::Options{}.lowest);
 }
 
 // Guards against a limit that rises while it is not used, which would let the
