--- /dev/null
+++ b/include/bronzedeal/gateway/caller_listener.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "bronzedeal/gateway/exchange.hpp"
+#include "bronzedeal/gateway/route_config.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+namespace bronzedeal::gateway {
+
+/// Starts a request; the reply handler may be called before the return.
+using RequestHandler =
+  std::function<std::shared_ptr<Exchange>(CallerRequest, ReplyHandler)>;
+
+/// HTTP/1.1 server: reads requests whole, one at a time per connection, and
+/// abandons the exchange of a caller that closes its connection.
+class CallerListener
+{
+public:
+  /// Throws boost::system::system_error when the address can't be used.
+  CallerListener(Process& aProcess,
+                 const boost::asio::ip::tcp::endpoint& aAddress,
+                 RequestHandler aHandler);
+  ~CallerListener();
+  CallerListener(const CallerListener&) = delete;
+  CallerListener& operator=(const CallerListener&) = delete;
+
+  [[nodiscard]] boost::asio::ip::tcp::endpoint Address() const;
+
+  /// Applies to requests that are read from now on.
+  void SetLimits(const CallerLimits& aLimits);
+
+  /// From now on each answer closes its connection.
+  void BeginDrain();
+  /// Accepts no more connections.
+  void StopAccepting();
+  /// Closes the connections that wait for a request.
+  void CloseIdle();
+
+  /// Connections with a request in progress.
+  [[nodiscard]] std::size_t Busy() const noexcept;
+  [[nodiscard]] std::size_t Connections() const noexcept;
+
+private:
+  struct Impl;
+  class Connection;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/cold_allowance.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "bronzedeal/types.hpp"
+
+#include <string_view>
+
+namespace bronzedeal::gateway {
+
+/// Bound on the requests that reach a cold server in one second, from all
+/// instances together: `rate * overshoot + slack`.
+struct ColdLimits
+{
+  double rate = 0;
+  double overshoot = 1.5;
+  double slack = 5;
+};
+
+/// This instance's share of what a cold server bears.
+///
+/// Instances are ranked for each server by a hash of both ids. When the bound
+/// is smaller than the number of instances, only the first ones may send, one
+/// request in each second; otherwise each has an equal share.
+class ColdAllowance
+{
+public:
+  /// Takes one send; false when the share of this second is used or zero.
+  [[nodiscard]] bool TryTake(const ColdLimits& aLimits,
+                             unsigned aRank,
+                             unsigned aInstances,
+                             TimePoint aNow);
+
+private:
+  TimePoint mWindow{};
+  unsigned mUsed = 0;
+};
+
+/// Sends per second of the instance with this rank.
+[[nodiscard]] unsigned ColdShare(const ColdLimits& aLimits,
+                                 unsigned aRank,
+                                 unsigned aInstances) noexcept;
+
+/// Order of an instance among those that may send to a cold server.
+[[nodiscard]] std::uint64_t ColdRankHash(std::string_view aServer,
+                                         std::string_view aInstance) noexcept;
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/gateway.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "bronzedeal/gateway/exchange.hpp"
+
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace bronzedeal::gateway {
+
+/// Takes callers' requests to the servers that the version in force names.
+class Gateway
+{
+public:
+  Gateway(Process& aProcess, ServerRegistry& aServers);
+
+  /// Puts a version in force; false when it isn't higher than the present one.
+  bool Accept(RouteConfig aConfig);
+
+  /// The version in force; null before the first.
+  [[nodiscard]] const std::shared_ptr<const RouteTable>& Table() const noexcept
+  {
+    return mTable;
+  }
+
+  /// Starts a request. The reply may come before the return; the exchange is
+  /// null then or may be ignored.
+  std::shared_ptr<Exchange> Handle(CallerRequest aRequest, ReplyHandler aReply);
+
+  /// Shares of limits follow the number of instances.
+  void OnFleetChange();
+
+private:
+  [[nodiscard]] const std::string& PickGroup(const Route& aRoute);
+
+  Process& mProcess;
+  ServerRegistry& mServers;
+  RouteLatency mLatency;
+  std::shared_ptr<const RouteTable> mTable;
+  /// What each target of a weighted route is owed (smooth round robin).
+  std::unordered_map<std::string, std::unordered_map<std::string, double>>
+    mCredits;
+};
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "bronzedeal/gateway/gateway.hpp"
+#include "bronzedeal/gateway/metadata_source.hpp"
+
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace bronzedeal::gateway {
+
+/// Keeps the registry and the configuration in step with one topic of the
+/// metadata service: lists all entries, then watches the changes.
+class MetadataFollower
+{
+public:
+  MetadataFollower(Process& aProcess,
+                   Gateway& aGateway,
+                   ServerRegistry& aServers,
+                   MetadataSource& aSource,
+                   Topic aTopic);
+
+  void Start();
+  void Stop();
+
+  /// True once a whole list has been taken.
+  [[nodiscard]] bool Synchronized() const noexcept { return mSynchronized; }
+
+private:
+  /// Servers and domains that a list has named so far.
+  struct Listing
+  {
+    std::string page;
+    std::uint64_t revision = 0;
+    std::set<ServerId> servers;
+    std::set<FailureDomain> domains;
+  };
+
+  void ListPage();
+  void OnListed(MetadataReply aReply);
+  void FinishList();
+  void Watch();
+  void OnWatched(MetadataReply aReply);
+  void Apply(RevisedChange& aChange);
+  void ForgetServer(const ServerId& aServer, std::string_view aReason);
+  void RemoveLapsed();
+  void OnFailure(const MetadataReply& aReply);
+  void OnContact();
+  void After(Duration aDelay, void (MetadataFollower::*aStep)());
+  [[nodiscard]] std::string_view TopicName() const noexcept;
+
+  Process& mProcess;
+  Gateway& mGateway;
+  ServerRegistry& mServers;
+  MetadataSource& mSource;
+  Topic mTopic;
+  std::shared_ptr<bool> mRunning = std::make_shared<bool>(false);
+  std::minstd_rand mRandom;
+  Listing mListing;
+  std::uint64_t mRevision = 0;
+  bool mSynchronized = false;
+  Duration mBackoff{};
+  bool mAway = false;
+  TimePoint mAwaySince{};
+  TimePoint mLastContact{};
+  /// Until when entries that vanished may come back (see kLapseGrace).
+  TimePoint mLapseUntil{};
+  std::set<ServerId> mLapsed;
+};
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/peer_table.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "bronzedeal/types.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bronzedeal::gateway {
+
+/// What an instance tells others about itself, and others pass on.
+struct PeerState
+{
+  /// Identifies the instance: no two have the same address.
+  boost::asio::ip::address address;
+  InstanceId instance;
+  FailureDomain failureDomain;
+  Incarnation incarnation = 0;
+  /// Rises while the instance runs.
+  std::uint64_t heartbeat = 0;
+  double cores = 1;
+  /// It has a configuration and serves callers.
+  bool ready = false;
+  /// It was told to stop.
+  bool leaving = false;
+};
+
+/// The other instances, learnt by gossip of heartbeat counters: an instance
+/// whose counter stands still is no longer alive. Nothing is published or
+/// stored anywhere; an empty table fills from the seeds again.
+///
+/// Pure: no sockets, no clock. Not thread safe.
+class PeerTable
+{
+public:
+  struct Options
+  {
+    /// Without a new heartbeat for this long, an instance is not alive. Ten
+    /// rounds of gossip: a few lost datagrams don't matter.
+    Duration silence = milliseconds(2000);
+    /// How long a silent instance counts in the shares of limits, since it may
+    /// run behind a partition.
+    Duration memory = std::chrono::seconds(10);
+    /// Members in one datagram.
+    std::size_t digestSize = 24;
+  };
+
+  PeerTable(PeerState aSelf, const Options& aOptions);
+
+  /// This instance's own state; the heartbeat is kept by the table.
+  [[nodiscard]] PeerState& Self() noexcept { return mSelf; }
+  [[nodiscard]] const PeerState& Self() const noexcept { return mSelf; }
+
+  /// The content of the next datagram: this instance with a new heartbeat, and
+  /// a random part of the living others.
+  [[nodiscard]] std::vector<PeerState> Digest(TimePoint aNow,
+                                              std::minstd_rand& aRandom);
+
+  /// Takes the content of a datagram.
+  void Merge(const std::vector<PeerState>& aStates, TimePoint aNow);
+
+  /// `aCount` random living peers, and one of the seeds that isn't among the
+  /// living, so that separate groups find each other again.
+  [[nodiscard]] std::vector<boost::asio::ip::address> Targets(
+    const std::vector<boost::asio::ip::address>& aSeeds,
+    std::size_t aCount,
+    TimePoint aNow,
+    std::minstd_rand& aRandom) const;
+
+  /// The living instances, this one included.
+  [[nodiscard]] std::vector<PeerState> Alive(TimePoint aNow) const;
+
+  /// Number of instances among which limits are shared: the living ones and
+  /// those that fell silent a short while ago.
+  [[nodiscard]] unsigned Sharing(TimePoint aNow) const;
+
+  /// Number of sharing instances that come before this one for a server.
+  [[nodiscard]] unsigned RankFor(const ServerId& aServer, TimePoint aNow) const;
+
+private:
+  struct Entry
+  {
+    PeerState state;
+    TimePoint heardAt{};
+  };
+
+  [[nodiscard]] bool IsAlive(const Entry& aEntry, TimePoint aNow) const;
+
+  PeerState mSelf;
+  Options mOptions;
+  std::map<boost::asio::ip::address, Entry> mPeers;
+};
+
+/// JSON text of a datagram.
+[[nodiscard]] std::string EncodePeers(const std::vector<PeerState>& aStates);
+
+/// The states of a datagram; false when it isn't well formed.
+[[nodiscard]] bool DecodePeers(std::string_view aText,
+                               std::vector<PeerState>& aStates);
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/process.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "bronzedeal/gateway/decision_log.hpp"
+#include "bronzedeal/gateway/peer_table.hpp"
+#include "bronzedeal/gateway/settings.hpp"
+#include "bronzedeal/gateway/timer_queue.hpp"
+#include "bronzedeal/process/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+namespace bronzedeal::gateway {
+
+/// What lives as long as the process. One thread runs the context: the
+/// machines have one core or less, and everything below runs on that thread.
+struct Process
+{
+  Process(Settings aSettings, DecisionLog::Sink aSink);
+
+  boost::asio::io_context context{ 1 };
+  Settings settings;
+  TimerQueue timers{ context };
+  process::Metrics metrics;
+  DecisionLog log;
+  PeerTable peers;
+};
+
+/// Milliseconds with fractions, for logs and costs.
+[[nodiscard]] inline double Milliseconds(Duration aDuration) noexcept
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/route_table.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "bronzedeal/gateway/route_config.hpp"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace bronzedeal::gateway {
+
+/// The compiled, immutable form of a `RouteConfig`. A request keeps the table
+/// that it started with, so that all shards of an answer come from one version.
+class RouteTable
+{
+public:
+  explicit RouteTable(RouteConfig aConfig);
+
+  /// The route of `aHost` with the longest prefix of `aPath`; null when none
+  /// matches. A port in `aHost` and a query in `aPath` are ignored.
+  [[nodiscard]] const Route* Find(std::string_view aHost,
+                                  std::string_view aPath) const;
+
+  /// The group of that name; null when the version doesn't name it.
+  [[nodiscard]] const ServerGroup* Group(std::string_view aName) const;
+
+  [[nodiscard]] const RouteConfig& Config() const noexcept { return mConfig; }
+  [[nodiscard]] ConfigVersion Version() const noexcept
+  {
+    return mConfig.version;
+  }
+
+private:
+  RouteConfig mConfig;
+  /// Routes of each host, longest prefix first.
+  std::unordered_map<std::string_view, std::vector<const Route*>> mByHost;
+  std::unordered_map<std::string_view, const ServerGroup*> mGroups;
+};
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "bronzedeal/gateway/http_message.hpp"
+#include "bronzedeal/gateway/timer_queue.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bronzedeal::gateway {
+
+/// How a send on a connection ended.
+enum class SendResult
+{
+  /// A complete response in the protocol.
+  Answered,
+  /// The connection broke, or other bytes than a response came.
+  Broken,
+};
+
+/// One HTTP/1.1 connection to a backend server; one request at a time. Not
+/// thread safe: belongs to the thread of its context.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+  /// `false` when the connection could not be opened.
+  using ConnectHandler = std::function<void(bool)>;
+  /// The response is null unless the result is `Answered`.
+  using SendHandler = std::function<void(SendResult, ResponseMessage*)>;
+
+  ServerConnection(boost::asio::io_context& aContext,
+                   TimerQueue& aTimers,
+                   std::size_t aMaxResponseBody);
+
+  void Connect(const boost::asio::ip::tcp::endpoint& aEndpoint,
+               Duration aTimeout,
+               ConnectHandler aHandler);
+
+  /// Sends the bytes of one request. `aHeadOnly`: the response has no body.
+  void Send(std::string aBytes, bool aHeadOnly, SendHandler aHandler);
+
+  /// Closes at once; a handler that waits is called with `Broken`.
+  void Close();
+
+  /// Called when an idle connection is closed by the server.
+  void OnIdleClose(std::function<void()> aHandler);
+
+  /// True while another request may follow.
+  [[nodiscard]] bool Reusable(TimePoint aNow) const noexcept;
+
+private:
+  void Watch();
+  void OnReadable();
+  void Consume(bool aEnd);
+  bool SkipInterim();
+  void FinishResponse();
+  void Fail();
+  void Write(std::size_t aFrom);
+
+  using Parser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  boost::asio::ip::tcp::socket mSocket;
+  TimerQueue& mTimers;
+  TimerQueue::Handle mConnectTimer;
+  std::size_t mMaxResponseBody;
+  ConnectHandler mConnected;
+  SendHandler mSent;
+  std::function<void()> mIdleClosed;
+  std::optional<Parser> mParser;
+  std::string mOut;
+  std::string mIn;
+  bool mOpen = false;
+  bool mWriting = false;
+  bool mHeadOnly = false;
+  bool mKeep = true;
+  /// Until when the server keeps the idle connection, where it says so.
+  TimePoint mIdleUntil = TimePoint::max();
+};
+
+/// Options of every TCP connection: no delay of small writes, and an end by the
+/// system when a peer has not acknowledged data for `aSilence`.
+void SetConnectionOptions(boost::asio::ip::tcp::socket& aSocket,
+                          milliseconds aSilence,
+                          boost::system::error_code& aError);
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "bronzedeal/gateway/backend_server.hpp"
+#include "bronzedeal/gateway/repeat_budget.hpp"
+#include "bronzedeal/gateway/route_table.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bronzedeal::gateway {
+
+/// The servers of one group, and the group's share of repeats.
+struct GroupState
+{
+  std::string name;
+  std::vector<std::shared_ptr<BackendServer>> servers;
+  RepeatBudget repeats;
+};
+
+/// Servers that an exchange has used already.
+using UsedServers = std::vector<const BackendServer*>;
+
+/// All known backend servers, by id and by group. Lives as long as the process.
+class ServerRegistry
+{
+public:
+  explicit ServerRegistry(Process& aProcess);
+
+  /// Adds a server or takes its newer record. A server that started again, or
+  /// has another address or group, replaces the one of before.
+  void Upsert(ServerRecord aRecord, TimePoint aNow);
+  void Remove(const ServerId& aId, std::string_view aReason);
+
+  /// Whether operators have taken a failure domain out: no new work for its
+  /// servers.
+  void SetWithdrawn(const FailureDomain& aDomain, bool aWithdrawn);
+  [[nodiscard]] const std::set<FailureDomain>& Withdrawn() const noexcept
+  {
+    return mWithdrawn;
+  }
+
+  /// Takes the connection limits of the version in force, shared among the
+  /// instances.
+  void ApplyLimits(const RouteTable& aTable, unsigned aInstances);
+
+  /// The group of that name, which is made when it isn't known yet.
+  [[nodiscard]] GroupState& Group(const std::string& aName);
+
+  /// The server that is expected to answer first; null when none may be used.
+  /// Servers of `aAvoid` are left out. For a cold server, takes one of this
+  /// instance's allowance.
+  [[nodiscard]] std::shared_ptr<BackendServer> Choose(
+    GroupState& aGroup,
+    const RequestView& aRequest,
+    const UsedServers& aAvoid,
+    TimePoint aNow);
+
+  /// Whether a server of the group may be used at all now.
+  [[nodiscard]] bool HasUsable(const GroupState& aGroup, TimePoint aNow) const;
+
+  [[nodiscard]] std::vector<ServerId> Ids() const;
+  [[nodiscard]] std::size_t size() const noexcept { return mById.size(); }
+
+  /// Shards or services of the table that have a usable server in the domain,
+  /// as a share of all.
+  [[nodiscard]] double Locality(const RouteTable& aTable,
+                                const FailureDomain& aDomain,
+                                TimePoint aNow);
+
+private:
+  [[nodiscard]] bool MayUse(const BackendServer& aServer, TimePoint aNow) const;
+  void ApplyShare(BackendServer& aServer) const;
+
+  Process& mProcess;
+  std::unordered_map<ServerId, std::shared_ptr<BackendServer>> mById;
+  std::unordered_map<std::string, std::unique_ptr<GroupState>> mGroups;
+  std::unordered_map<std::string, std::size_t> mConnectionShares;
+  std::set<FailureDomain> mWithdrawn;
+};
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/include/bronzedeal/gateway/settings.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "bronzedeal/gateway/cold_allowance.hpp"
+#include "bronzedeal/gateway/repeat_budget.hpp"
+#include "bronzedeal/gateway/wire_names.hpp"
+#include "bronzedeal/types.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bronzedeal::gateway {
+
+/// What one gateway instance knows from its settings.
+struct Settings
+{
+  std::string instance;
+  FailureDomain failureDomain;
+  std::string region;
+  /// Where callers' requests arrive.
+  boost::asio::ip::tcp::endpoint callers;
+  /// Where the platform asks whether the instance is ready.
+  boost::asio::ip::tcp::endpoint readiness;
+  /// Where callers ask for addresses.
+  boost::asio::ip::tcp::endpoint addresses;
+  /// Metrics in the text format of Prometheus; absent: not served.
+  std::optional<boost::asio::ip::tcp::endpoint> metrics;
+  /// Gossip between instances; all instances use the same port.
+  boost::asio::ip::udp::endpoint gossip;
+  /// Instances to find the others through; may be stale or down.
+  std::vector<boost::asio::ip::address> seeds;
+  /// The platform's metadata service.
+  boost::asio::ip::tcp::endpoint metadata;
+  /// Cores of this instance, for the share of callers that it gets.
+  double cores = 1;
+  /// Connections of all kinds that the process may hold.
+  unsigned maxDescriptors = 1024;
+
+  RepeatLimits repeats;
+  ColdLimits cold;
+  /// Between SIGTERM and the end of the process.
+  milliseconds shutdownGrace{ 6000 };
+  /// Longest time that callers may keep an address answer.
+  milliseconds addressTtl{ 2000 };
+  HeaderNames headers;
+};
+
+} // namespace bronzedeal::gateway
--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -36,6 +36,12 @@
   PeerControlBytesSent,
   PeerControlBytesReceived,
   PeerMessagesDropped,
+  QueriesFailed,
+  CallersLeft,
+  RepeatsDenied,
+  ServerConnections,
+  ServerConnectFailures,
+  LogLinesDropped,
   Count,
 };
 
@@ -48,6 +54,7 @@
   MembersAlive,
   Fenced,
   Quarantined,
+  ServersKnown,
   Count,
 };
 
--- /dev/null
+++ b/src/gateway/entry.cpp
@@ -0,0 +1,279 @@
+#include "bronzedeal/gateway/entry.hpp"
+
+#include "bronzedeal/gateway/address_picker.hpp"
+#include "bronzedeal/gateway/caller_listener.hpp"
+#include "bronzedeal/gateway/gateway.hpp"
+#include "bronzedeal/gateway/metadata_follower.hpp"
+#include "bronzedeal/gateway/peer_gossip.hpp"
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fmt/format.h>
+
+namespace bronzedeal::gateway {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+/// Callers keep an address answer for its lifetime, some for three times that;
+/// new connections are accepted this long after SIGTERM.
+constexpr auto kDrainAccept = milliseconds(3000);
+/// The process ends this long before it would be killed.
+constexpr auto kExitMargin = milliseconds(500);
+constexpr auto kDrainPoll = milliseconds(50);
+/// A changed settings file is noticed without a signal, too.
+constexpr auto kReloadPoll = std::chrono::seconds(1);
+/// Whether this instance is ready is told to the others this often.
+constexpr auto kReadyPoll = milliseconds(200);
+
+} // namespace
+
+struct Entry::Impl
+{
+  Impl(Settings aSettings, Platform& aPlatform, DecisionLog::Sink aSink)
+    : platform(aPlatform)
+    , process(std::move(aSettings), std::move(aSink))
+    , servers(process)
+    , gateway(process, servers)
+    , metadata(platform.OpenMetadata(process.context, process.settings))
+    , serverFollower(process, gateway, servers, *metadata, Topic::Servers)
+    , operatorFollower(process, gateway, servers, *metadata, Topic::Operators)
+    , gossip(process, [this] { gateway.OnFleetChange(); })
+    , callers(process,
+              process.settings.callers,
+              [this](CallerRequest aRequest, ReplyHandler aReply) {
+                return OnRequest(std::move(aRequest), std::move(aReply));
+              })
+    , readiness(
+        process,
+        process.settings.readiness,
+        [this](const CallerRequest& aRequest, const ReplyHandler& aReply) {
+          aReply(AnswerReadiness(aRequest));
+          return nullptr;
+        })
+    , addresses(
+        process,
+        process.settings.addresses,
+        [this](const CallerRequest& aRequest, const ReplyHandler& aReply) {
+          aReply(AnswerAddresses(aRequest));
+          return nullptr;
+        })
+    , signals(process.context, SIGTERM, SIGINT, SIGHUP)
+  {
+    if (process.settings.metrics) {
+      metrics = std::make_unique<CallerListener>(
+        process,
+        *process.settings.metrics,
+        [this](const CallerRequest&, const ReplyHandler& aReply) {
+          CallerReply reply;
+          reply.headers = "Content-Type: text/plain; version=0.0.4\r\n";
+          reply.body = process.metrics.Expose();
+          aReply(std::move(reply));
+          return nullptr;
+        });
+    }
+  }
+
+  std::shared_ptr<Exchange> OnRequest(CallerRequest aRequest,
+                                      ReplyHandler aReply)
+  {
+    const auto& table = gateway.Table();
+    if (table && table->Version() != limitsVersion) {
+      limitsVersion = table->Version();
+      callers.SetLimits(table->Config().limits);
+    }
+    if (!serverFollower.Synchronized()) {
+      aReply(RefusedReply("no servers known yet", milliseconds(200)));
+      return nullptr;
+    }
+    return gateway.Handle(std::move(aRequest), std::move(aReply));
+  }
+
+  [[nodiscard]] bool Ready() const
+  {
+    return !draining && gateway.Table() && serverFollower.Synchronized();
+  }
+
+  CallerReply AnswerReadiness(const CallerRequest& aRequest)
+  {
+    if (!platform.IsReadinessCall(aRequest.message.target())) {
+      return OwnReply(404, "unknown path");
+    }
+    return Ready() ? OwnReply(200, "ready") : OwnReply(503, "not ready");
+  }
+
+  CallerReply AnswerAddresses(const CallerRequest& aRequest)
+  {
+    if (!platform.IsAddressCall(aRequest.message.target())) {
+      return OwnReply(404, "unknown path");
+    }
+    const auto now = steady_clock::now();
+    process.peers.Self().ready = Ready();
+    std::vector<AddressCandidate> candidates;
+    for (const auto& it : process.peers.Alive(now)) {
+      if (!it.leaving) {
+        candidates.push_back(AddressCandidate{
+          it.address, Locality(it.failureDomain, now), it.cores, it.ready });
+      }
+    }
+    std::vector<std::string> picked;
+    for (const auto& it : PickAddresses(std::move(candidates))) {
+      picked.push_back(
+        fmt::format("{}:{}", it.to_string(), process.settings.callers.port()));
+    }
+    if (picked.empty()) {
+      return OwnReply(503, "no instance serves callers");
+    }
+    return platform.EncodeAddresses(picked, process.settings.addressTtl);
+  }
+
+  double Locality(const FailureDomain& aDomain, TimePoint aNow)
+  {
+    return gateway.Table() ? servers.Locality(*gateway.Table(), aDomain, aNow)
+                           : 1;
+  }
+
+  void WaitForSignal()
+  {
+    signals.async_wait(
+      [this](const boost::system::error_code& aError, int aSignal) {
+        if (aError) {
+          return;
+        }
+        if (aSignal == SIGHUP) {
+          Reload();
+        } else if (!draining) {
+          BeginDrain();
+        }
+        WaitForSignal();
+      });
+  }
+
+  void PollReload()
+  {
+    Reload();
+    process.timers.At(steady_clock::now() + kReloadPoll,
+                      [this] { PollReload(); });
+  }
+
+  void Reload()
+  {
+    auto reload = platform.ReloadSettings();
+    if (!reload.error.empty()) {
+      process.log.Write("settings_refused", { { "reason", reload.error } });
+    }
+    if (!reload.settings) {
+      return;
+    }
+    // Addresses stay as they are until the next start.
+    auto& settings = process.settings;
+    settings.seeds = reload.settings->seeds;
+    settings.repeats = reload.settings->repeats;
+    settings.cold = reload.settings->cold;
+    settings.shutdownGrace = reload.settings->shutdownGrace;
+    settings.addressTtl = reload.settings->addressTtl;
+    process.log.Write(
+      "settings_reloaded",
+      { { "seeds", static_cast<std::int64_t>(settings.seeds.size()) } });
+  }
+
+  void PollReady()
+  {
+    auto& self = process.peers.Self();
+    if (self.ready != Ready()) {
+      self.ready = Ready();
+      process.log.Write("ready_changed", { { "ready", self.ready } });
+      gossip.SendNow();
+    }
+    process.timers.At(steady_clock::now() + kReadyPoll,
+                      [this] { PollReady(); });
+  }
+
+  void BeginDrain()
+  {
+    draining = true;
+    drainStarted = steady_clock::now();
+    process.log.Write(
+      "stop_begins",
+      { { "connections", static_cast<std::int64_t>(callers.Connections()) },
+        { "requests", static_cast<std::int64_t>(callers.Busy()) } });
+    process.peers.Self().leaving = true;
+    process.peers.Self().ready = false;
+    gossip.SendNow();
+    callers.BeginDrain();
+    PollDrain();
+  }
+
+  void PollDrain()
+  {
+    const auto elapsed = steady_clock::now() - drainStarted;
+    const auto accept =
+      std::min<Duration>(kDrainAccept, process.settings.shutdownGrace / 2);
+    if (elapsed >= accept) {
+      callers.StopAccepting();
+      callers.CloseIdle();
+    }
+    const bool finished = elapsed >= accept && callers.Busy() == 0;
+    if (finished || elapsed >= process.settings.shutdownGrace - kExitMargin) {
+      process.log.Write(
+        "stop_ends",
+        { { "requests", static_cast<std::int64_t>(callers.Busy()) },
+          { "took_ms", Milliseconds(elapsed) } });
+      process.context.stop();
+      return;
+    }
+    process.timers.At(steady_clock::now() + kDrainPoll,
+                      [this] { PollDrain(); });
+  }
+
+  int Run()
+  {
+    process.log.Write("start",
+                      { { "version", BRONZEDEAL_VERSION },
+                        { "domain", process.settings.failureDomain } });
+    WaitForSignal();
+    gossip.Start();
+    serverFollower.Start();
+    operatorFollower.Start();
+    PollReload();
+    PollReady();
+    process.context.run();
+    serverFollower.Stop();
+    operatorFollower.Stop();
+    return 0;
+  }
+
+  Platform& platform;
+  Process process;
+  ServerRegistry servers;
+  Gateway gateway;
+  std::unique_ptr<MetadataSource> metadata;
+  MetadataFollower serverFollower;
+  MetadataFollower operatorFollower;
+  PeerGossip gossip;
+  CallerListener callers;
+  CallerListener readiness;
+  CallerListener addresses;
+  std::unique_ptr<CallerListener> metrics;
+  boost::asio::signal_set signals;
+  ConfigVersion limitsVersion = 0;
+  bool draining = false;
+  TimePoint drainStarted{};
+};
+
+Entry::Entry(Settings aSettings, Platform& aPlatform, DecisionLog::Sink aSink)
+  : mImpl(
+      std::make_unique<Impl>(std::move(aSettings), aPlatform, std::move(aSink)))
+{
+}
+
+Entry::~Entry() = default;
+
+int Entry::Run()
+{
+  return mImpl->Run();
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/exchange.cpp
@@ -0,0 +1,72 @@
+#include "bronzedeal/gateway/exchange.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace bronzedeal::gateway {
+
+namespace {
+
+/// Usual latency before the first sample, as a part of the objective.
+constexpr double kInitialShare = 1.0 / 6;
+constexpr double kSampleWeight = 0.05;
+/// One sample counts at most this many times the average, so that a paused or
+/// slow server doesn't move it.
+constexpr double kMaxSample = 3;
+/// Servers stop this long after the caller has left: below half a second, and
+/// most requests end by themselves within it, which keeps their connections.
+constexpr auto kAfterLeave = milliseconds(250);
+/// After the request's end a server answers by itself; its connection is then
+/// still of use.
+constexpr auto kAfterDeadline = milliseconds(100);
+
+} // namespace
+
+double RouteLatency::Typical(const Route& aRoute) const
+{
+  const auto it = mTypical.find(aRoute.name);
+  return it != mTypical.end() ? it->second
+                              : kInitialShare * Milliseconds(aRoute.objective);
+}
+
+void RouteLatency::Add(const Route& aRoute, Duration aLatency)
+{
+  const double current = Typical(aRoute);
+  const double sample = std::min(Milliseconds(aLatency), kMaxSample * current);
+  mTypical[aRoute.name] = current + kSampleWeight * (sample - current);
+}
+
+std::shared_ptr<ServerRequest> MakeServerRequest(
+  const ExchangeContext& aContext,
+  const RoutedRequest& aRequest)
+{
+  const auto& message = aRequest.caller.message;
+  auto request = std::make_shared<ServerRequest>();
+  request->head =
+    fmt::format("{} {} HTTP/1.1\r\n{}",
+                std::string_view(message.method_string()),
+                std::string_view(message.target()),
+                ForwardedHeaders(message, aContext.process.settings.headers));
+  request->body = message.body();
+  if (!request->body.empty() || message.has_content_length()) {
+    request->head +=
+      fmt::format("Content-Length: {}\r\n", request->body.size());
+  }
+  request->headOnly = message.method() == boost::beast::http::verb::head;
+  request->requestId = aRequest.caller.requestId;
+  request->deadline = aRequest.deadline;
+  request->priority = aRequest.route->priority;
+  request->view.typicalMs = aContext.latency.Typical(*aRequest.route);
+  request->view.objectiveMs = Milliseconds(aRequest.route->objective);
+  return request;
+}
+
+TimePoint ReleaseTime(const RoutedRequest& aRequest,
+                      bool aCallerLeft,
+                      TimePoint aNow) noexcept
+{
+  const auto end = aRequest.deadline + kAfterDeadline;
+  return aCallerLeft ? std::min(end, aNow + kAfterLeave) : end;
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,106 @@
+#include "bronzedeal/gateway/gateway.hpp"
+
+#include <algorithm>
+#include <boost/beast/http/field.hpp>
+
+namespace bronzedeal::gateway {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+/// When a caller of an instance without a configuration should come back.
+constexpr auto kRetryUnconfigured = milliseconds(200);
+
+} // namespace
+
+Gateway::Gateway(Process& aProcess, ServerRegistry& aServers)
+  : mProcess(aProcess)
+  , mServers(aServers)
+{
+}
+
+bool Gateway::Accept(RouteConfig aConfig)
+{
+  if (mTable && aConfig.version <= mTable->Version()) {
+    return false;
+  }
+  mProcess.log.Write(
+    "config_accepted",
+    { { "version", static_cast<std::int64_t>(aConfig.version) },
+      { "former", static_cast<std::int64_t>(mTable ? mTable->Version() : 0) },
+      { "routes", static_cast<std::int64_t>(aConfig.routes.size()) } });
+  mProcess.metrics.Add(process::Counter::ConfigAccepted);
+  mProcess.metrics.Set(process::Gauge::ConfigVersion,
+                       static_cast<double>(aConfig.version));
+  mTable = std::make_shared<const RouteTable>(std::move(aConfig));
+  mCredits.clear();
+  OnFleetChange();
+  return true;
+}
+
+void Gateway::OnFleetChange()
+{
+  if (mTable) {
+    mServers.ApplyLimits(*mTable, mProcess.peers.Sharing(steady_clock::now()));
+  }
+}
+
+const std::string& Gateway::PickGroup(const Route& aRoute)
+{
+  const auto& targets = aRoute.targets;
+  if (targets.size() == 1) {
+    return targets.front().group;
+  }
+  auto& credits = mCredits[aRoute.name];
+  double total = 0;
+  const WeightedGroup* best = &targets.front();
+  for (const auto& it : targets) {
+    credits[it.group] += it.weight;
+    total += it.weight;
+    if (credits[it.group] > credits[best->group]) {
+      best = &it;
+    }
+  }
+  credits[best->group] -= total;
+  return best->group;
+}
+
+std::shared_ptr<Exchange> Gateway::Handle(CallerRequest aRequest,
+                                          ReplyHandler aReply)
+{
+  if (!mTable) {
+    aReply(RefusedReply("no configuration yet", kRetryUnconfigured));
+    return nullptr;
+  }
+  const auto host = aRequest.message[boost::beast::http::field::host];
+  const auto* route = mTable->Find(host, aRequest.message.target());
+  if (route == nullptr) {
+    mProcess.log.Write(
+      "no_route",
+      { { "request", aRequest.requestId },
+        { "version", static_cast<std::int64_t>(mTable->Version()) } });
+    aReply(OwnReply(404, "no route"));
+    return nullptr;
+  }
+  RoutedRequest request;
+  request.deadline = aRequest.received + route->timeout;
+  if (aRequest.callerDeadline) {
+    request.deadline = std::min(request.deadline, *aRequest.callerDeadline);
+  }
+  request.caller = std::move(aRequest);
+  request.table = mTable;
+  request.route = route;
+  const ExchangeContext context{ mProcess, mServers, mLatency };
+  if (route->IsFanout()) {
+    return StartFanoutExchange(context, std::move(request), std::move(aReply));
+  }
+  if (route->targets.empty()) {
+    aReply(OwnReply(404, "the route has no target"));
+    return nullptr;
+  }
+  return StartSingleExchange(
+    context, std::move(request), PickGroup(*route), std::move(aReply));
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/http_message.cpp
@@ -0,0 +1,107 @@
+#include "bronzedeal/gateway/http_message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <fmt/format.h>
+
+namespace bronzedeal::gateway {
+
+namespace http = boost::beast::http;
+using boost::beast::iequals;
+
+namespace {
+
+/// Headers that concern one connection (RFC 9110, 7.6.1), and the length, which
+/// is written anew.
+constexpr std::array<std::string_view, 9> kConnectionHeaders{
+  "connection", "keep-alive", "proxy-connection", "transfer-encoding",
+  "te",         "trailer",    "upgrade",          "content-length",
+  "expect",
+};
+
+bool IsConnectionHeader(boost::beast::string_view aName)
+{
+  return std::any_of(kConnectionHeaders.begin(),
+                     kConnectionHeaders.end(),
+                     [&](auto it) { return iequals(aName, it); });
+}
+
+template<typename Fields>
+void AppendForwarded(const Fields& aFields,
+                     std::initializer_list<std::string_view> aExcept,
+                     std::string& aOut)
+{
+  http::token_list named(aFields[http::field::connection]);
+  for (const auto& it : aFields) {
+    const auto name = it.name_string();
+    const bool skip =
+      IsConnectionHeader(name) || named.exists(name) ||
+      std::any_of(aExcept.begin(), aExcept.end(), [&](auto except) {
+        return iequals(name, except);
+      });
+    if (!skip) {
+      aOut.append(name).append(": ").append(it.value()).append("\r\n");
+    }
+  }
+}
+
+} // namespace
+
+CallerReply OwnReply(unsigned aStatus, std::string_view aReason)
+{
+  CallerReply reply;
+  reply.status = aStatus;
+  reply.reason =
+    std::string(http::obsolete_reason(http::int_to_status(aStatus)));
+  reply.headers = "Content-Type: text/plain\r\n";
+  reply.body = fmt::format("{}\n", aReason);
+  return reply;
+}
+
+CallerReply RefusedReply(std::string_view aReason, Duration aRetryAfter)
+{
+  auto reply = OwnReply(503, aReason);
+  reply.headers +=
+    fmt::format("Retry-After: {:.3f}\r\n",
+                std::chrono::duration<double>(aRetryAfter).count());
+  return reply;
+}
+
+CallerReply ForwardedReply(const ResponseMessage& aResponse)
+{
+  CallerReply reply;
+  reply.status = aResponse.result_int();
+  reply.reason = std::string(aResponse.reason());
+  AppendForwarded(aResponse.base(), {}, reply.headers);
+  reply.body = aResponse.body();
+  return reply;
+}
+
+std::string ForwardedHeaders(const RequestMessage& aRequest,
+                             const HeaderNames& aNames)
+{
+  std::string out;
+  AppendForwarded(
+    aRequest.base(), { aNames.timeLeft, aNames.expectedServer }, out);
+  return out;
+}
+
+std::string Serialize(const CallerReply& aReply, bool aClose, bool aHeadOnly)
+{
+  auto out = fmt::format(
+    "HTTP/1.1 {} {}\r\n{}", aReply.status, aReply.reason, aReply.headers);
+  // 1xx, 204 and 304 have no body and no length (RFC 9110, 6.4.1).
+  const bool bodiless = aReply.status == 204 || aReply.status == 304;
+  if (!bodiless) {
+    out += fmt::format("Content-Length: {}\r\n", aReply.body.size());
+  }
+  out += aClose ? "Connection: close\r\n\r\n" : "\r\n";
+  if (!aHeadOnly && !bodiless) {
+    out += aReply.body;
+  }
+  return out;
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/metadata_follower.cpp
@@ -0,0 +1,281 @@
+#include "bronzedeal/gateway/metadata_follower.hpp"
+
+#include <algorithm>
+
+namespace bronzedeal::gateway {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+/// Between two watches of the servers: each call is priced, and a server that
+/// leaves must be out of use within 3 s.
+constexpr auto kServerPace = milliseconds(700);
+/// A watch of the operators' entries; short, so that a connection that has
+/// fallen silent delays a change by little.
+constexpr auto kOperatorWait = milliseconds(2500);
+constexpr auto kServerWait = milliseconds(1500);
+/// Beyond the wait until a call is given up.
+constexpr auto kReplySlack = milliseconds(700);
+constexpr auto kListTimeout = milliseconds(1500);
+/// After a failed call; doubles up to the maximum, with jitter.
+constexpr auto kMinBackoff = milliseconds(100);
+constexpr auto kMaxBackoff = milliseconds(800);
+/// Servers whose entries lapsed while the service was away register again
+/// within about two seconds.
+constexpr auto kLapseGrace = milliseconds(2300);
+/// Away for longer than this, entries may have lapsed.
+constexpr auto kLapseAfter = milliseconds(1500);
+
+} // namespace
+
+MetadataFollower::MetadataFollower(Process& aProcess,
+                                   Gateway& aGateway,
+                                   ServerRegistry& aServers,
+                                   MetadataSource& aSource,
+                                   Topic aTopic)
+  : mProcess(aProcess)
+  , mGateway(aGateway)
+  , mServers(aServers)
+  , mSource(aSource)
+  , mTopic(aTopic)
+  , mRandom(std::random_device{}())
+{
+}
+
+std::string_view MetadataFollower::TopicName() const noexcept
+{
+  return mTopic == Topic::Servers ? "servers" : "operators";
+}
+
+void MetadataFollower::Start()
+{
+  *mRunning = true;
+  mLastContact = steady_clock::now();
+  ListPage();
+}
+
+void MetadataFollower::Stop()
+{
+  *mRunning = false;
+}
+
+void MetadataFollower::After(Duration aDelay, void (MetadataFollower::*aStep)())
+{
+  mProcess.timers.At(steady_clock::now() + aDelay,
+                     [this, running = mRunning, aStep] {
+                       if (*running) {
+                         (this->*aStep)();
+                       }
+                     });
+}
+
+void MetadataFollower::ListPage()
+{
+  mProcess.metrics.Add(process::Counter::PlatformReads);
+  mSource.List(mTopic,
+               mListing.page,
+               kListTimeout,
+               [this, running = mRunning](MetadataReply aReply) {
+                 if (*running) {
+                   OnListed(std::move(aReply));
+                 }
+               });
+}
+
+void MetadataFollower::OnListed(MetadataReply aReply)
+{
+  if (aReply.status != MetadataStatus::Ok) {
+    OnFailure(aReply);
+    mListing = {};
+    After(mBackoff, &MetadataFollower::ListPage);
+    return;
+  }
+  OnContact();
+  // Pages are no snapshot: changes since the first one are watched again.
+  if (mListing.revision == 0) {
+    mListing.revision = aReply.revision;
+  }
+  for (auto& it : aReply.changes) {
+    if (const auto* server = std::get_if<ServerChanged>(&it.change)) {
+      mListing.servers.insert(server->record.id);
+    } else if (const auto* domain = std::get_if<DomainWithdrawn>(&it.change)) {
+      mListing.domains.insert(domain->domain);
+    }
+    Apply(it);
+  }
+  mListing.page = aReply.nextPage;
+  if (!mListing.page.empty()) {
+    ListPage();
+    return;
+  }
+  FinishList();
+}
+
+void MetadataFollower::FinishList()
+{
+  const auto listing = std::exchange(mListing, {});
+  if (mTopic == Topic::Servers) {
+    for (const auto& id : mServers.Ids()) {
+      if (!listing.servers.contains(id)) {
+        ForgetServer(id, "not_listed");
+      }
+    }
+  } else {
+    const auto withdrawn = mServers.Withdrawn();
+    for (const auto& domain : withdrawn) {
+      if (!listing.domains.contains(domain)) {
+        mServers.SetWithdrawn(domain, false);
+      }
+    }
+  }
+  mRevision = listing.revision;
+  if (!mSynchronized) {
+    mProcess.log.Write(
+      "metadata_synchronized",
+      { { "topic", TopicName() },
+        { "revision", static_cast<std::int64_t>(mRevision) } });
+  }
+  mSynchronized = true;
+  Watch();
+}
+
+void MetadataFollower::Watch()
+{
+  mProcess.metrics.Add(process::Counter::PlatformReads);
+  const auto wait = mTopic == Topic::Servers ? kServerWait : kOperatorWait;
+  mSource.Watch(mTopic,
+                mRevision,
+                wait,
+                wait + kReplySlack,
+                [this, running = mRunning](MetadataReply aReply) {
+                  if (*running) {
+                    OnWatched(std::move(aReply));
+                  }
+                });
+}
+
+void MetadataFollower::OnWatched(MetadataReply aReply)
+{
+  switch (aReply.status) {
+    case MetadataStatus::HistoryGone:
+      mProcess.log.Write(
+        "metadata_history_gone",
+        { { "topic", TopicName() },
+          { "revision", static_cast<std::int64_t>(mRevision) } });
+      OnContact();
+      ListPage();
+      return;
+    case MetadataStatus::Unavailable:
+      OnFailure(aReply);
+      After(mBackoff, &MetadataFollower::Watch);
+      return;
+    case MetadataStatus::Ok:
+      break;
+  }
+  OnContact();
+  for (auto& it : aReply.changes) {
+    Apply(it);
+  }
+  mRevision = std::max(mRevision, aReply.revision);
+  if (mTopic == Topic::Servers) {
+    After(kServerPace, &MetadataFollower::Watch);
+  } else {
+    Watch();
+  }
+}
+
+void MetadataFollower::Apply(RevisedChange& aChange)
+{
+  const auto now = steady_clock::now();
+  struct Visitor
+  {
+    MetadataFollower& follower;
+    TimePoint now;
+
+    void operator()(ServerChanged& aServer) const
+    {
+      follower.mLapsed.erase(aServer.record.id);
+      follower.mServers.Upsert(std::move(aServer.record), now);
+    }
+    void operator()(const ServerGone& aServer) const
+    {
+      follower.ForgetServer(aServer.id, "deleted");
+    }
+    void operator()(ConfigPublished& aConfig) const
+    {
+      follower.mGateway.Accept(std::move(aConfig.config));
+    }
+    void operator()(const DomainWithdrawn& aDomain) const
+    {
+      follower.mServers.SetWithdrawn(aDomain.domain, aDomain.withdrawn);
+    }
+    void operator()(const InvalidEntry& aEntry) const
+    {
+      follower.mProcess.log.Write(
+        "entry_invalid",
+        { { "key", aEntry.key }, { "reason", aEntry.reason } });
+      follower.mProcess.metrics.Add(process::Counter::ConfigRejected);
+      if (!aEntry.server.empty()) {
+        follower.mServers.Remove(aEntry.server, "invalid_entry");
+      }
+    }
+  };
+  std::visit(Visitor{ *this, now }, aChange.change);
+}
+
+void MetadataFollower::ForgetServer(const ServerId& aServer,
+                                    std::string_view aReason)
+{
+  if (steady_clock::now() < mLapseUntil) {
+    mLapsed.insert(aServer);
+  } else {
+    mServers.Remove(aServer, aReason);
+  }
+}
+
+void MetadataFollower::RemoveLapsed()
+{
+  if (steady_clock::now() < mLapseUntil) {
+    return; // the service was away again meanwhile
+  }
+  for (const auto& it : std::exchange(mLapsed, {})) {
+    mServers.Remove(it, "lapsed");
+  }
+}
+
+void MetadataFollower::OnFailure(const MetadataReply& aReply)
+{
+  const double jitter =
+    std::uniform_real_distribution<double>(0.5, 1.5)(mRandom);
+  mBackoff = std::clamp<Duration>(mBackoff * 2, kMinBackoff, kMaxBackoff);
+  mBackoff = std::chrono::duration_cast<Duration>(mBackoff * jitter);
+  if (!mAway) {
+    mAway = true;
+    mAwaySince = mLastContact;
+    mProcess.log.Write(
+      "metadata_lost",
+      { { "topic", TopicName() }, { "detail", aReply.detail } });
+  }
+}
+
+void MetadataFollower::OnContact()
+{
+  const auto now = steady_clock::now();
+  mBackoff = {};
+  mLastContact = now;
+  if (!mAway) {
+    return;
+  }
+  mAway = false;
+  const auto away = now - mAwaySince;
+  mProcess.log.Write(
+    "metadata_regained",
+    { { "topic", TopicName() }, { "away_ms", Milliseconds(away) } });
+  if (away >= kLapseAfter) {
+    mLapseUntil = now + kLapseGrace;
+    After(kLapseGrace + milliseconds(1), &MetadataFollower::RemoveLapsed);
+  }
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/peer_table.cpp
@@ -0,0 +1,195 @@
+#include "bronzedeal/gateway/peer_table.hpp"
+
+#include "bronzedeal/gateway/cold_allowance.hpp"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace bronzedeal::gateway {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Largest number of instances that the table holds; far above the fleet of
+/// docs/CAPACITY.md.
+constexpr std::size_t kMaxPeers = 4096;
+/// Members of one state in a datagram, in the order of EncodePeers.
+constexpr std::size_t kStateFields = 8;
+
+bool Newer(const PeerState& aLeft, const PeerState& aRight)
+{
+  return std::pair(aLeft.incarnation, aLeft.heartbeat) >
+         std::pair(aRight.incarnation, aRight.heartbeat);
+}
+
+} // namespace
+
+PeerTable::PeerTable(PeerState aSelf, const Options& aOptions)
+  : mSelf(std::move(aSelf))
+  , mOptions(aOptions)
+{
+}
+
+bool PeerTable::IsAlive(const Entry& aEntry, TimePoint aNow) const
+{
+  return aNow - aEntry.heardAt < mOptions.silence;
+}
+
+std::vector<PeerState> PeerTable::Digest(TimePoint aNow,
+                                         std::minstd_rand& aRandom)
+{
+  ++mSelf.heartbeat;
+  std::vector<PeerState> states;
+  for (const auto& [address, entry] : mPeers) {
+    if (IsAlive(entry, aNow)) {
+      states.push_back(entry.state);
+    }
+  }
+  std::shuffle(states.begin(), states.end(), aRandom);
+  if (states.size() >= mOptions.digestSize) {
+    states.resize(mOptions.digestSize - 1);
+  }
+  states.insert(states.begin(), mSelf);
+  return states;
+}
+
+void PeerTable::Merge(const std::vector<PeerState>& aStates, TimePoint aNow)
+{
+  for (const auto& it : aStates) {
+    if (it.address == mSelf.address) {
+      // A former run of this instance, with a clock that was ahead.
+      if (it.incarnation > mSelf.incarnation) {
+        mSelf.incarnation = it.incarnation + 1;
+      }
+      continue;
+    }
+    const auto known = mPeers.find(it.address);
+    if (known == mPeers.end()) {
+      if (mPeers.size() < kMaxPeers) {
+        mPeers.emplace(it.address, Entry{ it, aNow });
+      }
+    } else if (Newer(it, known->second.state)) {
+      known->second = Entry{ it, aNow };
+    }
+  }
+}
+
+std::vector<boost::asio::ip::address> PeerTable::Targets(
+  const std::vector<boost::asio::ip::address>& aSeeds,
+  std::size_t aCount,
+  TimePoint aNow,
+  std::minstd_rand& aRandom) const
+{
+  std::vector<boost::asio::ip::address> targets;
+  for (const auto& [address, entry] : mPeers) {
+    if (IsAlive(entry, aNow)) {
+      targets.push_back(address);
+    }
+  }
+  std::vector<boost::asio::ip::address> lost;
+  for (const auto& it : aSeeds) {
+    if (it != mSelf.address &&
+        std::find(targets.begin(), targets.end(), it) == targets.end()) {
+      lost.push_back(it);
+    }
+  }
+  std::shuffle(targets.begin(), targets.end(), aRandom);
+  targets.resize(std::min(targets.size(), aCount));
+  if (!lost.empty()) {
+    targets.push_back(lost[aRandom() % lost.size()]);
+  }
+  return targets;
+}
+
+std::vector<PeerState> PeerTable::Alive(TimePoint aNow) const
+{
+  std::vector<PeerState> alive{ mSelf };
+  for (const auto& [address, entry] : mPeers) {
+    if (IsAlive(entry, aNow)) {
+      alive.push_back(entry.state);
+    }
+  }
+  return alive;
+}
+
+unsigned PeerTable::Sharing(TimePoint aNow) const
+{
+  return 1 + static_cast<unsigned>(std::count_if(
+               mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+                 return aNow - aPeer.second.heardAt < mOptions.memory;
+               }));
+}
+
+unsigned PeerTable::RankFor(const ServerId& aServer, TimePoint aNow) const
+{
+  const auto own = ColdRankHash(aServer, mSelf.instance);
+  return static_cast<unsigned>(
+    std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+      const auto& [state, heardAt] = aPeer.second;
+      return aNow - heardAt < mOptions.memory &&
+             ColdRankHash(aServer, state.instance) < own;
+    }));
+}
+
+std::string EncodePeers(const std::vector<PeerState>& aStates)
+{
+  json::array rows;
+  rows.reserve(aStates.size());
+  for (const auto& it : aStates) {
+    rows.push_back(json::array{ it.address.to_string(),
+                                it.instance,
+                                it.failureDomain,
+                                it.incarnation,
+                                it.heartbeat,
+                                it.cores,
+                                it.ready,
+                                it.leaving });
+  }
+  return json::serialize(rows);
+}
+
+bool DecodePeers(std::string_view aText, std::vector<PeerState>& aStates)
+{
+  boost::system::error_code ec;
+  const auto value = json::parse(aText, ec);
+  const auto* rows = ec ? nullptr : value.if_array();
+  if (rows == nullptr) {
+    return false;
+  }
+  for (const auto& row : *rows) {
+    const auto* fields = row.if_array();
+    if (fields == nullptr || fields->size() < kStateFields) {
+      return false;
+    }
+    const auto& f = *fields;
+    const bool typed = f[0].is_string() && f[1].is_string() &&
+                       f[2].is_string() && f[5].is_double() && f[6].is_bool() &&
+                       f[7].is_bool();
+    if (!typed) {
+      return false;
+    }
+    PeerState state;
+    state.address =
+      boost::asio::ip::make_address(f[0].get_string().c_str(), ec);
+    state.instance = f[1].get_string();
+    state.failureDomain = f[2].get_string();
+    if (ec) {
+      return false;
+    }
+    state.incarnation = f[3].to_number<std::uint64_t>(ec);
+    state.heartbeat = ec ? 0 : f[4].to_number<std::uint64_t>(ec);
+    if (ec) {
+      return false;
+    }
+    state.cores = f[5].get_double();
+    state.ready = f[6].get_bool();
+    state.leaving = f[7].get_bool();
+    aStates.push_back(std::move(state));
+  }
+  return true;
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/process.cpp
@@ -0,0 +1,29 @@
+#include "bronzedeal/gateway/process.hpp"
+
+namespace bronzedeal::gateway {
+
+namespace {
+
+PeerState SelfOf(const Settings& aSettings)
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  PeerState self;
+  self.address = aSettings.gossip.address();
+  self.instance = aSettings.instance;
+  self.failureDomain = aSettings.failureDomain;
+  self.incarnation = static_cast<Incarnation>(
+    std::chrono::duration_cast<milliseconds>(now).count());
+  self.cores = aSettings.cores;
+  return self;
+}
+
+} // namespace
+
+Process::Process(Settings aSettings, DecisionLog::Sink aSink)
+  : settings(std::move(aSettings))
+  , log(settings.instance, std::move(aSink))
+  , peers(SelfOf(settings), PeerTable::Options{})
+{
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/route_table.cpp
@@ -0,0 +1,46 @@
+#include "bronzedeal/gateway/route_table.hpp"
+
+#include <algorithm>
+
+namespace bronzedeal::gateway {
+
+RouteTable::RouteTable(RouteConfig aConfig)
+  : mConfig(std::move(aConfig))
+{
+  for (const auto& it : mConfig.routes) {
+    mByHost[it.host].push_back(&it);
+  }
+  for (auto& [host, routes] : mByHost) {
+    std::stable_sort(
+      routes.begin(), routes.end(), [](const auto* aLeft, const auto* aRight) {
+        return aLeft->prefix.size() > aRight->prefix.size();
+      });
+  }
+  for (const auto& it : mConfig.groups) {
+    mGroups.emplace(it.name, &it);
+  }
+}
+
+const Route* RouteTable::Find(std::string_view aHost,
+                              std::string_view aPath) const
+{
+  const auto host = mByHost.find(aHost.substr(0, aHost.find(':')));
+  if (host == mByHost.end()) {
+    return nullptr;
+  }
+  const auto path = aPath.substr(0, aPath.find('?'));
+  for (const auto* it : host->second) {
+    if (path.starts_with(it->prefix)) {
+      return it;
+    }
+  }
+  return nullptr;
+}
+
+const ServerGroup* RouteTable::Group(std::string_view aName) const
+{
+  const auto it = mGroups.find(aName);
+  return it == mGroups.end() ? nullptr : it->second;
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/server_registry.cpp
@@ -0,0 +1,201 @@
+#include "bronzedeal/gateway/server_registry.hpp"
+
+#include "bronzedeal/gateway/process.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace bronzedeal::gateway {
+
+namespace {
+
+/// Part of a server's connections that is shared out; the rest serves
+/// instances whose view of the fleet is older, and connections that close.
+constexpr double kConnectionsSharedOut = 0.9;
+
+} // namespace
+
+ServerRegistry::ServerRegistry(Process& aProcess)
+  : mProcess(aProcess)
+{
+}
+
+void ServerRegistry::Upsert(ServerRecord aRecord, TimePoint aNow)
+{
+  const auto it = mById.find(aRecord.id);
+  if (it != mById.end()) {
+    const auto& known = it->second->Record();
+    const bool same = known.address == aRecord.address &&
+                      known.group == aRecord.group &&
+                      known.startedAtMs == aRecord.startedAtMs;
+    if (same) {
+      if (known.draining != aRecord.draining) {
+        mProcess.log.Write("server_state",
+                           { { "server", aRecord.id },
+                             { "group", aRecord.group },
+                             { "draining", aRecord.draining } });
+      }
+      it->second->Update(std::move(aRecord), aNow);
+      return;
+    }
+    Remove(aRecord.id, "replaced");
+  }
+  mProcess.log.Write(
+    "server_added",
+    { { "server", aRecord.id },
+      { "group", aRecord.group },
+      { "domain", aRecord.failureDomain },
+      { "cold_ms", static_cast<std::int64_t>(aRecord.coldLeft.count()) } });
+  auto& group = Group(aRecord.group);
+  auto server = std::make_shared<BackendServer>(mProcess, std::move(aRecord));
+  ApplyShare(*server);
+  group.servers.push_back(server);
+  mById.emplace(server->Record().id, std::move(server));
+  mProcess.metrics.Set(process::Gauge::ServersKnown,
+                       static_cast<double>(mById.size()));
+}
+
+void ServerRegistry::Remove(const ServerId& aId, std::string_view aReason)
+{
+  const auto it = mById.find(aId);
+  if (it == mById.end()) {
+    return;
+  }
+  const auto server = it->second;
+  mById.erase(it);
+  std::erase(Group(server->Record().group).servers, server);
+  mProcess.log.Write("server_removed",
+                     { { "server", server->Record().id },
+                       { "group", server->Record().group },
+                       { "reason", aReason } });
+  mProcess.metrics.Set(process::Gauge::ServersKnown,
+                       static_cast<double>(mById.size()));
+  server->Retire();
+}
+
+void ServerRegistry::SetWithdrawn(const FailureDomain& aDomain, bool aWithdrawn)
+{
+  const bool changed = aWithdrawn ? mWithdrawn.insert(aDomain).second
+                                  : mWithdrawn.erase(aDomain) > 0;
+  if (changed) {
+    mProcess.log.Write("domain_withdrawn",
+                       { { "domain", aDomain }, { "withdrawn", aWithdrawn } });
+  }
+  if (!changed || !aWithdrawn) {
+    return;
+  }
+  std::vector<std::shared_ptr<BackendServer>> withdrawn;
+  for (const auto& [id, server] : mById) {
+    if (server->Record().failureDomain == aDomain) {
+      withdrawn.push_back(server);
+    }
+  }
+  for (const auto& it : withdrawn) {
+    it->DropQueued();
+  }
+}
+
+void ServerRegistry::ApplyShare(BackendServer& aServer) const
+{
+  const auto it = mConnectionShares.find(aServer.Record().group);
+  if (it != mConnectionShares.end()) {
+    aServer.SetConnectionShare(it->second);
+  }
+}
+
+void ServerRegistry::ApplyLimits(const RouteTable& aTable, unsigned aInstances)
+{
+  for (const auto& it : aTable.Config().groups) {
+    mConnectionShares[it.name] = static_cast<std::size_t>(
+      kConnectionsSharedOut * it.maxConnections / std::max(1U, aInstances));
+  }
+  for (const auto& [id, server] : mById) {
+    ApplyShare(*server);
+  }
+}
+
+GroupState& ServerRegistry::Group(const std::string& aName)
+{
+  auto& group = mGroups[aName];
+  if (!group) {
+    group = std::make_unique<GroupState>();
+    group->name = aName;
+  }
+  return *group;
+}
+
+bool ServerRegistry::MayUse(const BackendServer& aServer, TimePoint aNow) const
+{
+  return aServer.Usable(aNow) &&
+         !mWithdrawn.contains(aServer.Record().failureDomain);
+}
+
+std::shared_ptr<BackendServer> ServerRegistry::Choose(
+  GroupState& aGroup,
+  const RequestView& aRequest,
+  const UsedServers& aAvoid,
+  TimePoint aNow)
+{
+  std::vector<std::pair<double, BackendServer*>> candidates;
+  candidates.reserve(aGroup.servers.size());
+  for (const auto& it : aGroup.servers) {
+    const bool avoid =
+      std::find(aAvoid.begin(), aAvoid.end(), it.get()) != aAvoid.end();
+    if (avoid || !MayUse(*it, aNow)) {
+      continue;
+    }
+    double cost = ReplicaCost(it->View(aNow), aRequest);
+    if (it->Cold(aNow)) {
+      cost += aRequest.objectiveMs;
+    }
+    candidates.emplace_back(cost, it.get());
+  }
+  std::sort(candidates.begin(), candidates.end());
+  for (const auto& [cost, server] : candidates) {
+    if (server->TakeAllowance(aNow)) {
+      return server->shared_from_this();
+    }
+  }
+  return nullptr;
+}
+
+bool ServerRegistry::HasUsable(const GroupState& aGroup, TimePoint aNow) const
+{
+  return std::any_of(aGroup.servers.begin(),
+                     aGroup.servers.end(),
+                     [&](const auto& it) { return MayUse(*it, aNow); });
+}
+
+std::vector<ServerId> ServerRegistry::Ids() const
+{
+  std::vector<ServerId> ids;
+  ids.reserve(mById.size());
+  for (const auto& [id, server] : mById) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+double ServerRegistry::Locality(const RouteTable& aTable,
+                                const FailureDomain& aDomain,
+                                TimePoint aNow)
+{
+  std::set<std::string_view> groups;
+  for (const auto& it : aTable.Config().routes) {
+    groups.insert(it.shards.begin(), it.shards.end());
+  }
+  if (groups.empty()) {
+    return 1;
+  }
+  std::size_t local = 0;
+  for (const auto name : groups) {
+    const auto& servers = Group(std::string(name)).servers;
+    local += static_cast<std::size_t>(
+      std::any_of(servers.begin(), servers.end(), [&](const auto& it) {
+        return it->Record().failureDomain == aDomain && MayUse(*it, aNow);
+      }));
+  }
+  return static_cast<double>(local) / static_cast<double>(groups.size());
+}
+
+} // namespace bronzedeal::gateway
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -47,6 +47,12 @@
   { "bronzedeal_peer_control_bytes_sent_total", "Control bytes sent" },
   { "bronzedeal_peer_control_bytes_received_total", "Control bytes received" },
   { "bronzedeal_peer_messages_dropped_total", "Messages dropped, queue full" },
+  { "bronzedeal_queries_failed_total", "Queries without an answer" },
+  { "bronzedeal_callers_left_total", "Callers that left before the answer" },
+  { "bronzedeal_repeats_denied_total", "Repeats that the budget denied" },
+  { "bronzedeal_server_connections_total", "Connections opened to servers" },
+  { "bronzedeal_server_connect_failures_total", "Connections not opened" },
+  { "bronzedeal_log_lines_dropped_total", "Log lines dropped, buffer full" },
 } };
 
 constexpr std::array<MetricName, kGauges> kGaugeNames{ {
@@ -57,6 +63,7 @@
   { "bronzedeal_members_alive", "Members of the fleet that are alive" },
   { "bronzedeal_fenced", "1 while the instance is fenced" },
   { "bronzedeal_quarantined", "Fingerprints in quarantine" },
+  { "bronzedeal_servers_known", "Backend servers in the registry" },
 } };
 
 // Seconds; the target is a p99 of 0.17 s.
