--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -14,6 +14,9 @@
 constexpr double kHedgeObjectiveShare = 0.4;
 /// Sends that a request may take in all, those included that servers refused.
 constexpr unsigned kMaxSends = 6;
+/// A request that no server could be offered is refused after this part of
+/// the objective.
+constexpr int kRefuseShare = 5;
 /// Between tries while no server may be used.
 constexpr auto kRetryPause = milliseconds(60);
 /// The final answer leaves this long before the caller's end.
@@ -47,7 +50,7 @@
     mGroup.repeats.OnFirstSend(Process().settings.repeats,
                                Process().peers.Sharing(steady_clock::now()),
                                steady_clock::now());
-    TrySend();
+    Continue();
   }
 
   void Abandon() override
@@ -232,6 +235,12 @@
       FinishWithout("no_attempt_left");
       return;
     }
+    const auto waited = steady_clock::now() - mRequest.caller.received;
+    if (mArrivals == 0 && waited >= mRequest.route->objective / kRefuseShare) {
+      // The caller does better to come back than to wait for a server here.
+      FinishWithout("no_server");
+      return;
+    }
     mRetry = Process().timers.At(steady_clock::now() + kRetryPause,
                                  [self = shared_from_this()] {
                                    self->mRetry = {};
--- /dev/null
+++ b/tests/gateway/decisions_test.cpp
@@ -0,0 +1,276 @@
+#include "bronzedeal/gateway/address_picker.hpp"
+#include "bronzedeal/gateway/cold_allowance.hpp"
+#include "bronzedeal/gateway/peer_table.hpp"
+#include "bronzedeal/gateway/record_merge.hpp"
+#include "bronzedeal/gateway/repeat_budget.hpp"
+#include "bronzedeal/gateway/replica_cost.hpp"
+#include "bronzedeal/gateway/route_table.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace bronzedeal::gateway {
+
+namespace {
+
+TimePoint At(std::int64_t aMs)
+{
+  return TimePoint{} + std::chrono::hours(1) + milliseconds(aMs);
+}
+
+boost::asio::ip::address Ip(unsigned aLast)
+{
+  return boost::asio::ip::make_address("10.0.0." + std::to_string(aLast));
+}
+
+PeerState Peer(unsigned aNumber)
+{
+  PeerState state;
+  state.address = Ip(aNumber);
+  state.instance = "gw-" + std::to_string(aNumber);
+  state.incarnation = 1000;
+  return state;
+}
+
+} // namespace
+
+// Guards against a request that goes by a shorter prefix than the longest.
+TEST(RouteTable, SelectsTheLongestPrefixOfTheHost)
+{
+  RouteConfig config;
+  for (const auto* prefix : { "/a/", "/a/b/" }) {
+    Route route;
+    route.name = prefix;
+    route.host = "h";
+    route.prefix = prefix;
+    config.routes.push_back(route);
+  }
+  const RouteTable table(config);
+  EXPECT_EQ(table.Find("h:80", "/a/b/c?x=/")->name, "/a/b/");
+  EXPECT_EQ(table.Find("h", "/a/x")->name, "/a/");
+  EXPECT_EQ(table.Find("h", "/a"), nullptr);
+  EXPECT_EQ(table.Find("other", "/a/x"), nullptr);
+}
+
+// Guards against repeats beyond the bound in any window, with each instance
+// spending as much as its share allows and one restart in between.
+RC_GTEST_PROP(RepeatBudget, InstancesStayBelowTheBoundTogether, ())
+{
+  const RepeatLimits limits;
+  const auto instances = *rc::gen::inRange(1U, 20U);
+  const auto perSecond = *rc::gen::inRange(0, 40);
+  std::vector<RepeatBudget> budgets(instances);
+  std::deque<std::pair<std::int64_t, double>> window;
+  const auto restart = *rc::gen::inRange(0, 20'000);
+  for (std::int64_t ms = 0; ms < 25'000; ms += 50) {
+    if (ms / 50 == restart / 50) {
+      budgets.front() = RepeatBudget();
+    }
+    double firsts = 0;
+    double repeats = 0;
+    for (auto& it : budgets) {
+      if (perSecond > 0 && ms % (1000 / perSecond / 50 * 50 + 50) == 0) {
+        it.OnFirstSend(limits, instances, At(ms));
+        ++firsts;
+      }
+      while (it.TryTake(limits, instances, At(ms))) {
+        ++repeats;
+      }
+    }
+    window.emplace_back(ms, repeats - limits.ratio * firsts);
+    while (window.front().first <= ms - 10'000) {
+      window.pop_front();
+    }
+    double sum = 0;
+    for (const auto& [when, value] : window) {
+      sum += value;
+    }
+    RC_ASSERT(sum <= limits.slack);
+  }
+}
+
+// Guards against more requests to a cold server in one second than it bears,
+// summed over all instances, whatever their number.
+RC_GTEST_PROP(ColdAllowance, InstancesStayBelowTheBoundTogether, ())
+{
+  ColdLimits limits;
+  limits.rate = *rc::gen::inRange(0, 40);
+  const auto instances = *rc::gen::inRange(1U, 100U);
+  std::vector<ColdAllowance> allowances(instances);
+  std::deque<std::pair<std::int64_t, unsigned>> window;
+  for (std::int64_t ms = 0; ms < 6000; ms += 20) {
+    unsigned sent = 0;
+    for (unsigned n = 0; n < instances; ++n) {
+      while (allowances[n].TryTake(limits, n, instances, At(ms))) {
+        ++sent;
+      }
+    }
+    window.emplace_back(ms, sent);
+    while (window.front().first <= ms - 1000) {
+      window.pop_front();
+    }
+    unsigned sum = 0;
+    for (const auto& [when, count] : window) {
+      sum += count;
+    }
+    RC_ASSERT(sum <= limits.rate * limits.overshoot + limits.slack);
+  }
+}
+
+// Guards against answers from another domain while the near server is sound,
+// and against waiting for a near server that is paused.
+TEST(ReplicaCost, PrefersTheNearServerUntilItStalls)
+{
+  const RequestView request{ 15, 120 };
+  ReplicaView near;
+  ReplicaView far;
+  far.sameFailureDomain = false;
+  EXPECT_LT(ReplicaCost(near, request), ReplicaCost(far, request));
+  near.oldestUnansweredMs = 60;
+  near.inFlight = 1;
+  EXPECT_TRUE(IsStalled(near, request));
+  EXPECT_GT(ReplicaCost(near, request), ReplicaCost(far, request));
+}
+
+// Guards against a slow or failing server keeping its share of the work.
+TEST(ReplicaCost, AvoidsSlowAndFailingServers)
+{
+  const RequestView request{ 15, 120 };
+  const ReplicaView usual;
+  ReplicaView slow;
+  slow.slowness = 8;
+  ReplicaView failing;
+  failing.failureRate = 0.4;
+  EXPECT_GT(ReplicaCost(slow, request), ReplicaCost(usual, request));
+  EXPECT_GT(ReplicaCost(failing, request), ReplicaCost(usual, request));
+}
+
+// Guards against an instance that has ended being named to callers.
+TEST(PeerTable, ForgetsAnInstanceWhoseHeartbeatStops)
+{
+  PeerTable table(Peer(1), {});
+  auto other = Peer(2);
+  other.heartbeat = 5;
+  table.Merge({ other }, At(0));
+  EXPECT_EQ(table.Alive(At(100)).size(), 2U);
+  // The same heartbeat from a third instance is no sign of life.
+  table.Merge({ other }, At(1900));
+  EXPECT_EQ(table.Alive(At(2100)).size(), 1U);
+  EXPECT_EQ(table.Sharing(At(2100)), 2U);
+  EXPECT_EQ(table.Sharing(At(11'000)), 1U);
+}
+
+// Guards against an instance being ignored after a restart with a clock that
+// jumped back.
+TEST(PeerTable, OutrunsItsFormerIncarnation)
+{
+  PeerTable table(Peer(1), {});
+  auto former = Peer(1);
+  former.incarnation = 5000;
+  former.heartbeat = 77;
+  table.Merge({ former }, At(0));
+  EXPECT_GT(table.Self().incarnation, 5000U);
+}
+
+// Guards against two groups of instances that never find each other again.
+TEST(PeerTable, AsksASeedThatIsNotAlive)
+{
+  std::minstd_rand random(1);
+  PeerTable table(Peer(1), {});
+  auto other = Peer(2);
+  other.heartbeat = 1;
+  table.Merge({ other }, At(0));
+  const auto targets = table.Targets({ Ip(1), Ip(2), Ip(3) }, 2, At(0), random);
+  EXPECT_EQ(targets.size(), 2U);
+  EXPECT_NE(std::find(targets.begin(), targets.end(), Ip(3)), targets.end());
+}
+
+// Guards against instances that don't learn of each other in a few rounds.
+RC_GTEST_PROP(PeerTable, NewsReachesAllThroughOneSeed, ())
+{
+  std::minstd_rand random(*rc::gen::inRange(1U, 1'000'000U));
+  constexpr unsigned kInstances = 20;
+  std::vector<PeerTable> tables;
+  for (unsigned n = 0; n < kInstances; ++n) {
+    tables.emplace_back(Peer(n), PeerTable::Options{});
+  }
+  for (int round = 0; round < 30; ++round) {
+    for (auto& it : tables) {
+      const auto now = At(250 * round);
+      const auto digest = it.Digest(now, random);
+      for (const auto& target : it.Targets({ Ip(0) }, 2, now, random)) {
+        tables[target.to_v4().to_bytes()[3]].Merge(digest, now);
+      }
+    }
+  }
+  for (const auto& it : tables) {
+    RC_ASSERT(it.Alive(At(250 * 29)).size() == kInstances);
+  }
+}
+
+// Guards against a datagram of another sender or version being half applied.
+TEST(PeerTable, RefusesDatagramsThatAreNotWellFormed)
+{
+  std::vector<PeerState> states;
+  EXPECT_TRUE(DecodePeers(EncodePeers({ Peer(1), Peer(2) }), states));
+  EXPECT_EQ(states.size(), 2U);
+  for (const auto* text : { "",
+                            "{}",
+                            "[1]",
+                            "[[\"x\"]]",
+                            R"([["x","a","b",1,1,1.0,true,true]])" }) {
+    states.clear();
+    EXPECT_FALSE(DecodePeers(text, states)) << text;
+  }
+}
+
+// Guards against callers being sent where all answers cross domains, and
+// against too few instances for the work.
+TEST(PickAddresses, PrefersInstancesNearTheServers)
+{
+  const auto candidate = [](unsigned aNumber, double aLocality) {
+    return AddressCandidate{ Ip(aNumber), aLocality, 0.25, true };
+  };
+  const auto all = PickAddresses(
+    { candidate(1, 0), candidate(2, 1), candidate(3, 1), candidate(4, 0.9) });
+  EXPECT_EQ(all.size(), 3U);
+  EXPECT_EQ(std::find(all.begin(), all.end(), Ip(1)), all.end());
+  EXPECT_EQ(
+    PickAddresses({ candidate(1, 0), candidate(2, 0), candidate(3, 1) }).size(),
+    2U);
+}
+
+// Guards against instances that can't serve yet being named while others can.
+TEST(PickAddresses, LeavesOutInstancesThatAreNotReady)
+{
+  EXPECT_EQ(PickAddresses({ { Ip(1), 1, 1, false }, { Ip(2), 0, 1, true } }),
+            std::vector{ Ip(2) });
+  EXPECT_EQ(PickAddresses({ { Ip(1), 1, 1, false } }).size(), 1U);
+}
+
+// Guards against an answer that isn't the greatest records, compared as bytes.
+RC_GTEST_PROP(MergeGreatest, EqualsASortOfAllRecords, ())
+{
+  const auto bodies = *rc::gen::container<std::vector<std::string>>(
+    rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+  const auto count = *rc::gen::inRange<std::size_t>(0, 20);
+  std::vector<std::string_view> views(bodies.begin(), bodies.end());
+  std::vector<std::string> records;
+  for (const auto& it : bodies) {
+    for (std::size_t at = 0; at + kRecordBytes <= it.size();
+         at += kRecordBytes) {
+      records.push_back(it.substr(at, kRecordBytes));
+    }
+  }
+  std::sort(records.begin(), records.end(), std::greater<>());
+  records.resize(std::min(records.size(), count));
+  std::string expected;
+  for (const auto& it : records) {
+    expected += it;
+  }
+  RC_ASSERT(MergeGreatest(views, count) == expected);
+}
+
+} // namespace bronzedeal::gateway
--- /dev/null
+++ b/tests/gateway/support.hpp
@@ -0,0 +1,262 @@
+#pragma once
+
+#include "bronzedeal/gateway/exchange.hpp"
+#include "bronzedeal/gateway/gateway.hpp"
+#include "bronzedeal/gateway/process.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bronzedeal::gateway::test {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// What a scripted server does with one request.
+struct Reaction
+{
+  std::string bytes;
+  Duration delay{};
+  /// Closes the connection after the bytes.
+  bool close = false;
+  /// Resets it instead of an orderly end.
+  bool reset = false;
+  /// Sends nothing at all.
+  bool silent = false;
+};
+
+/// A response with a length.
+inline std::string Response(unsigned aStatus,
+                            const std::string& aHeaders,
+                            const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\n" + aHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+/// A backend server on a loopback port that reacts as a test says. Requests
+/// without a body only.
+class ScriptedServer
+{
+public:
+  using Script = std::function<Reaction(const std::string& aRequest)>;
+
+  ScriptedServer(asio::io_context& aContext, Script aScript)
+    : mContext(aContext)
+    , mAcceptor(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , mScript(std::move(aScript))
+  {
+    Accept();
+  }
+
+  [[nodiscard]] tcp::endpoint Address() const
+  {
+    return mAcceptor.local_endpoint();
+  }
+  [[nodiscard]] const std::vector<std::string>& Requests() const
+  {
+    return mRequests;
+  }
+  [[nodiscard]] std::size_t Connections() const { return mConnections; }
+  [[nodiscard]] std::size_t Closed() const { return mClosed; }
+
+private:
+  struct Peer
+  {
+    explicit Peer(tcp::socket aSocket)
+      : socket(std::move(aSocket))
+      , timer(socket.get_executor())
+    {
+    }
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::string buf;
+    std::string out;
+  };
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](auto aError, tcp::socket aSocket) {
+      if (!aError) {
+        ++mConnections;
+        Read(std::make_shared<Peer>(std::move(aSocket)));
+        Accept();
+      }
+    });
+  }
+
+  void Read(const std::shared_ptr<Peer>& aPeer)
+  {
+    asio::async_read_until(
+      aPeer->socket,
+      asio::dynamic_buffer(aPeer->buf),
+      "\r\n\r\n",
+      [this, aPeer](auto aError, std::size_t aSize) {
+        if (aError) {
+          ++mClosed;
+          return;
+        }
+        mRequests.push_back(aPeer->buf.substr(0, aSize));
+        aPeer->buf.erase(0, aSize);
+        const auto reaction = mScript(mRequests.back());
+        aPeer->timer.expires_after(reaction.delay);
+        aPeer->timer.async_wait(
+          [this, aPeer, reaction](auto) { React(aPeer, reaction); });
+      });
+  }
+
+  void React(const std::shared_ptr<Peer>& aPeer, const Reaction& aReaction)
+  {
+    if (aReaction.silent) {
+      Read(aPeer);
+      return;
+    }
+    aPeer->out = aReaction.bytes;
+    asio::async_write(aPeer->socket,
+                      asio::buffer(aPeer->out),
+                      [this, aPeer, aReaction](auto, std::size_t) {
+                        if (aReaction.reset) {
+                          aPeer->socket.set_option(
+                            tcp::socket::linger(true, 0));
+                        }
+                        if (aReaction.close || aReaction.reset) {
+                          aPeer->socket.close();
+                          return;
+                        }
+                        Read(aPeer);
+                      });
+  }
+
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  Script mScript;
+  std::vector<std::string> mRequests;
+  std::size_t mConnections = 0;
+  std::size_t mClosed = 0;
+};
+
+/// A gateway with its registry in one context, without listeners.
+struct World
+{
+  World()
+    : process(MakeSettings(), [](std::string_view) {})
+    , servers(process)
+    , gateway(process, servers)
+  {
+  }
+
+  static Settings MakeSettings()
+  {
+    Settings settings;
+    settings.instance = "gw-0";
+    settings.failureDomain = "fd-a";
+    settings.gossip = { asio::ip::address_v4::loopback(), 0 };
+    return settings;
+  }
+
+  void AddServer(const std::string& aId,
+                 const std::string& aGroup,
+                 const tcp::endpoint& aAddress,
+                 const std::string& aDomain = "fd-a")
+  {
+    ServerRecord record;
+    record.id = aId;
+    record.group = aGroup;
+    record.address = aAddress;
+    record.failureDomain = aDomain;
+    record.slots = 2;
+    servers.Upsert(record, std::chrono::steady_clock::now());
+  }
+
+  static Route SingleRoute(Repeatability aRepeatability)
+  {
+    Route route;
+    route.name = "one";
+    route.host = "shop.example";
+    route.prefix = "/one/";
+    route.repeatability = aRepeatability;
+    route.maxAttempts = 2;
+    route.timeout = milliseconds(3000);
+    route.objective = milliseconds(200);
+    route.targets = { { "g0", 1 } };
+    return route;
+  }
+
+  static Route FanoutRoute(std::vector<std::string> aShards, double aCoverage)
+  {
+    Route route;
+    route.name = "all";
+    route.host = "shop.example";
+    route.prefix = "/all/";
+    route.maxAttempts = 2;
+    route.timeout = milliseconds(3000);
+    route.objective = milliseconds(300);
+    route.shards = std::move(aShards);
+    route.topRecords = 3;
+    route.minCoverage = aCoverage;
+    return route;
+  }
+
+  void Publish(std::vector<Route> aRoutes)
+  {
+    RouteConfig config;
+    config.version = ++version;
+    for (const auto& it : aRoutes) {
+      for (const auto& target : it.targets) {
+        config.groups.push_back({ target.group, 8, 0 });
+      }
+      for (const auto& shard : it.shards) {
+        config.groups.push_back({ shard, 8, 0 });
+      }
+    }
+    config.routes = std::move(aRoutes);
+    gateway.Accept(std::move(config));
+  }
+
+  static CallerRequest Request(const std::string& aTarget)
+  {
+    CallerRequest request;
+    request.message.method(boost::beast::http::verb::get);
+    request.message.target(aTarget);
+    request.message.version(11);
+    request.message.set(boost::beast::http::field::host, "shop.example");
+    request.message.set("X-Request-Id", "r-1");
+    request.requestId = "r-1";
+    request.received = std::chrono::steady_clock::now();
+    return request;
+  }
+
+  /// Sends a request and runs the context until it is answered.
+  CallerReply Ask(const std::string& aTarget)
+  {
+    std::optional<CallerReply> reply;
+    const auto exchange = gateway.Handle(
+      Request(aTarget), [&](CallerReply aReply) { reply = std::move(aReply); });
+    RunUntil([&] { return reply.has_value(); });
+    return reply.value_or(CallerReply{ 0, "no reply", "", "" });
+  }
+
+  /// Runs the context until the condition holds; gives up after a while, which
+  /// a test then sees.
+  void RunUntil(const std::function<bool()>& aDone)
+  {
+    const auto end =
+      std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!aDone() && std::chrono::steady_clock::now() < end) {
+      process.context.run_one_for(milliseconds(50));
+      process.context.restart();
+    }
+  }
+
+  Process process;
+  ServerRegistry servers;
+  Gateway gateway;
+  ConfigVersion version = 0;
+};
+
+} // namespace bronzedeal::gateway::test
