--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -39,6 +39,7 @@
   QueriesFailed,
   CallersLeft,
   RepeatsDenied,
+  SubRequestsCrossing,
   ServerConnections,
   ServerConnectFailures,
   LogLinesDropped,
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -303,6 +303,9 @@
                              .count());
   mInFlight.push_back(aAttempt);
   mProcess.metrics.Add(process::Counter::SubRequestsServed);
+  if (mRecord.failureDomain != mProcess.settings.failureDomain) {
+    mProcess.metrics.Add(process::Counter::SubRequestsCrossing);
+  }
   aAttempt->expiry =
     mProcess.timers.At(request.deadline, [self = shared_from_this(), aAttempt] {
       self->OnExpired(aAttempt);
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -25,6 +25,7 @@
 constexpr auto kDrainPoll = milliseconds(50);
 /// A changed settings file is noticed without a signal, too.
 constexpr auto kReloadPoll = std::chrono::seconds(1);
+constexpr auto kSummary = std::chrono::seconds(10);
 /// Whether this instance is ready is told to the others this often.
 constexpr auto kReadyPoll = milliseconds(200);
 
@@ -191,6 +192,30 @@
                       [this] { PollReady(); });
   }
 
+  /// One line with the counters, so that the log alone shows the load around
+  /// a failure.
+  void PollSummary()
+  {
+    const auto count = [this](bronzedeal::process::Counter aCounter) {
+      return static_cast<std::int64_t>(process.metrics.Value(aCounter));
+    };
+    using bronzedeal::process::Counter;
+    process.log.Write(
+      "summary",
+      { { "whole", count(Counter::QueriesWhole) },
+        { "partial", count(Counter::QueriesPartial) },
+        { "failed", count(Counter::QueriesFailed) },
+        { "refused", count(Counter::QueriesRefused) },
+        { "sub_requests", count(Counter::SubRequestsServed) },
+        { "crossing", count(Counter::SubRequestsCrossing) },
+        { "hedges", count(Counter::Hedges) },
+        { "repeats_denied", count(Counter::RepeatsDenied) },
+        { "connections", count(Counter::ServerConnections) },
+        { "store_reads", count(Counter::PlatformReads) } });
+    process.timers.At(steady_clock::now() + kSummary,
+                      [this] { PollSummary(); });
+  }
+
   void BeginDrain()
   {
     draining = true;
@@ -239,6 +264,7 @@
     operatorFollower.Start();
     PollReload();
     PollReady();
+    PollSummary();
     process.context.run();
     serverFollower.Stop();
     operatorFollower.Stop();
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -50,6 +50,8 @@
   { "bronzedeal_queries_failed_total", "Queries without an answer" },
   { "bronzedeal_callers_left_total", "Callers that left before the answer" },
   { "bronzedeal_repeats_denied_total", "Repeats that the budget denied" },
+  { "bronzedeal_sub_requests_crossing_total",
+    "Attempts at servers of other failure domains" },
   { "bronzedeal_server_connections_total", "Connections opened to servers" },
   { "bronzedeal_server_connect_failures_total", "Connections not opened" },
   { "bronzedeal_log_lines_dropped_total", "Log lines dropped, buffer full" },
