Send callers to few strong instances and share limits among those only

Change: address answers name the strong instances near the servers, limits are shared among those that callers are sent to, gossip goes mostly to the own domain with the serving instances first, watches of servers are paced by the drain bound, and the operators' watch waits 25 s with keep-alive probes.

--- a/include/bronzedeal/gateway/peer_gossip.hpp
+++ b/include/bronzedeal/gateway/peer_gossip.hpp
@@ -15,8 +15,8 @@
 class PeerGossip
 {
 public:
-  /// `aOnChange` is called when the number of sharing instances has changed.
-  PeerGossip(Process& aProcess, std::function<void()> aOnChange);
+  /// `aOnRound` is called after each round.
+  PeerGossip(Process& aProcess, std::function<void()> aOnRound);
 
   void Start();
   /// Tells some peers at once, such as that this instance leaves.
@@ -25,17 +25,17 @@
 
 private:
   void Round();
-  void SendTo(std::size_t aTargets, TimePoint aNow);
+  void SendTo(std::size_t aNear, std::size_t aFar, TimePoint aNow);
   void Receive();
   void OnDatagram(std::size_t aSize);
 
   Process& mProcess;
-  std::function<void()> mOnChange;
+  std::function<void()> mOnRound;
   boost::asio::ip::udp::socket mSocket;
   boost::asio::ip::udp::endpoint mFrom;
   std::array<char, 65'536> mBuffer{};
   std::minstd_rand mRandom;
-  unsigned mSharing = 0;
+  unsigned mRounds = 0;
   std::size_t mAlive = 1;
   bool mRunning = false;
 };
--- a/include/bronzedeal/gateway/peer_table.hpp
+++ b/include/bronzedeal/gateway/peer_table.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
   bool ready = false;
   /// It was told to stop.
   bool leaving = false;
+  /// Callers are sent to it, as it sees the fleet itself.
+  bool serving = false;
 };
 
 /// The other instances, learnt by gossip of heartbeat counters: an instance
@@ -37,14 +40,13 @@
 public:
   struct Options
   {
-    /// Without a new heartbeat for this long, an instance is not alive. Ten
-    /// rounds of gossip: a few lost datagrams don't matter.
+    /// Without a new heartbeat for this long, a serving instance is not alive.
+    /// Seven rounds of gossip: a few lost datagrams don't matter.
     Duration silence = milliseconds(2000);
-    /// How long a silent instance counts in the shares of limits, since it may
-    /// run behind a partition.
-    Duration memory = std::chrono::seconds(10);
-    /// Members in one datagram.
-    std::size_t digestSize = 24;
+    /// The same for the others, which aren't in each datagram.
+    Duration idleSilence = milliseconds(6000);
+    /// Members in one datagram, the serving ones first.
+    std::size_t digestSize = 16;
   };
 
   PeerTable(PeerState aSelf, const Options& aOptions);
@@ -61,24 +63,24 @@
   /// Takes the content of a datagram.
   void Merge(const std::vector<PeerState>& aStates, TimePoint aNow);
 
-  /// `aCount` random living peers, and one of the seeds that isn't among the
-  /// living, so that separate groups find each other again.
+  /// `aNear` random living peers of the own failure domain and `aFar` of the
+  /// others.
   [[nodiscard]] std::vector<boost::asio::ip::address> Targets(
+    std::size_t aNear,
+    std::size_t aFar,
+    TimePoint aNow,
+    std::minstd_rand& aRandom) const;
+
+  /// One of the seeds that isn't among the living, so that separate groups find
+  /// each other again.
+  [[nodiscard]] std::optional<boost::asio::ip::address> LostSeed(
     const std::vector<boost::asio::ip::address>& aSeeds,
-    std::size_t aCount,
     TimePoint aNow,
     std::minstd_rand& aRandom) const;
 
   /// The living instances, this one included.
   [[nodiscard]] std::vector<PeerState> Alive(TimePoint aNow) const;
 
-  /// Number of instances among which limits are shared: the living ones and
-  /// those that fell silent a short while ago.
-  [[nodiscard]] unsigned Sharing(TimePoint aNow) const;
-
-  /// Number of sharing instances that come before this one for a server.
-  [[nodiscard]] unsigned RankFor(const ServerId& aServer, TimePoint aNow) const;
-
 private:
   struct Entry
   {
--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzedeal/gateway/decision_log.hpp"
+#include "bronzedeal/gateway/fleet_shares.hpp"
 #include "bronzedeal/gateway/peer_table.hpp"
 #include "bronzedeal/gateway/settings.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
@@ -22,6 +23,7 @@
   process::Metrics metrics;
   DecisionLog log;
   PeerTable peers;
+  FleetShares shares;
 };
 
 /// Milliseconds with fractions, for logs and costs.
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bronzedeal/gateway/connection_options.hpp"
 #include "bronzedeal/gateway/http_message.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
 
@@ -80,10 +81,4 @@
   TimePoint mIdleUntil = TimePoint::max();
 };
 
-/// Options of every TCP connection: no delay of small writes, and an end by the
-/// system when a peer has not acknowledged data for `aSilence`.
-void SetConnectionOptions(boost::asio::ip::tcp::socket& aSocket,
-                          milliseconds aSilence,
-                          boost::system::error_code& aError);
-
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/settings.hpp
+++ b/include/bronzedeal/gateway/settings.hpp
@@ -44,6 +44,8 @@
   milliseconds shutdownGrace{ 6000 };
   /// Longest time that callers may keep an address answer.
   milliseconds addressTtl{ 2000 };
+  /// A server that leaves gets no new work after this.
+  milliseconds drainBound{ 3000 };
   HeaderNames headers;
 };
 
--- a/src/gateway/address_picker.cpp
+++ b/src/gateway/address_picker.cpp
@@ -1,16 +1,28 @@
 #include "bronzedeal/gateway/address_picker.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bronzedeal::gateway {
 
 namespace {
 
 /// Part of all living cores that the named instances have at least.
-constexpr double kMinCores = 0.5;
+constexpr double kMinCores = 0.2;
+/// Fewest instances that are named, so that callers survive the loss of some.
+constexpr std::size_t kMinInstances = 4;
+/// Beyond that, instances are named up to this number: each more divides the
+/// connections that servers accept into smaller shares.
+constexpr std::size_t kUsualInstances = 12;
+/// An instance with less than this part of the cores of the strongest makes
+/// wide queries late.
+constexpr double kStrongShare = 0.5;
 /// Instances whose locality is below this part of the best are named only
 /// where the others are too few.
 constexpr double kNearShare = 0.6;
+/// Part of all living cores that near instances must have so that others
+/// aren't named.
+constexpr double kMinNearCores = 0.5;
 /// Most addresses that a caller takes from one answer.
 constexpr std::size_t kMaxAddresses = 64;
 
@@ -25,25 +37,43 @@
   if (anyReady) {
     std::erase_if(aCandidates, [](const auto& it) { return !it.ready; });
   }
-  std::stable_sort(aCandidates.begin(),
-                   aCandidates.end(),
-                   [](const auto& aLeft, auto& aRight) {
-                     return aLeft.locality > aRight.locality;
-                   });
   double total = 0;
+  double strongest = 0;
+  double nearest = 0;
   for (const auto& it : aCandidates) {
     total += it.cores;
+    strongest = std::max(strongest, it.cores);
+    nearest = std::max(nearest, it.locality);
   }
+  const auto near = [&](const AddressCandidate& it) {
+    return it.locality >= kNearShare * nearest;
+  };
+  const auto strong = [&](const AddressCandidate& it) {
+    return it.cores >= kStrongShare * strongest;
+  };
+  double nearCores = 0;
+  for (const auto& it : aCandidates) {
+    nearCores += near(it) ? it.cores : 0;
+  }
+  const bool nearOnly = nearCores >= kMinNearCores * total;
+  // The order is the same on all instances with the same view.
+  std::sort(aCandidates.begin(),
+            aCandidates.end(),
+            [&](const auto& aLeft, auto& aRight) {
+              return std::tuple(!strong(aLeft), !near(aLeft), aLeft.address) <
+                     std::tuple(!strong(aRight), !near(aRight), aRight.address);
+            });
   std::vector<boost::asio::ip::address> picked;
   double named = 0;
   for (const auto& it : aCandidates) {
-    const bool near = it.locality >= kNearShare * aCandidates.front().locality;
-    if ((!near && named >= kMinCores * total) ||
-        picked.size() >= kMaxAddresses) {
-      break;
+    const bool needed =
+      picked.size() < kMinInstances || named < kMinCores * total;
+    const bool wanted =
+      strong(it) && picked.size() < kUsualInstances && (near(it) || !nearOnly);
+    if ((needed || wanted) && picked.size() < kMaxAddresses) {
+      picked.push_back(it.address);
+      named += it.cores;
     }
-    picked.push_back(it.address);
-    named += it.cores;
   }
   return picked;
 }
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -92,8 +92,8 @@
     return true;
   }
   return mAllowance.TryTake(mProcess.settings.cold,
-                            mProcess.peers.RankFor(mRecord.id, aNow),
-                            mProcess.peers.Sharing(aNow),
+                            mProcess.shares.RankFor(mRecord.id),
+                            mProcess.shares.Divisor(),
                             aNow);
 }
 
--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -1,6 +1,6 @@
 #include "bronzedeal/gateway/caller_listener.hpp"
 
-#include "bronzedeal/gateway/server_connection.hpp"
+#include "bronzedeal/gateway/connection_options.hpp"
 
 #include <array>
 #include <boost/asio/write.hpp>
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -41,7 +41,7 @@
     , metadata(platform.OpenMetadata(process.context, process.settings))
     , serverFollower(process, gateway, servers, *metadata, Topic::Servers)
     , operatorFollower(process, gateway, servers, *metadata, Topic::Operators)
-    , gossip(process, [this] { gateway.OnFleetChange(); })
+    , gossip(process, [this] { UpdateShares(); })
     , callers(process,
               process.settings.callers,
               [this](CallerRequest aRequest, ReplyHandler aReply) {
@@ -110,6 +110,19 @@
     if (!platform.IsAddressCall(aRequest.message.target())) {
       return OwnReply(404, "unknown path");
     }
+    std::vector<std::string> picked;
+    for (const auto& it : ServingAddresses()) {
+      picked.push_back(
+        fmt::format("{}:{}", it.to_string(), process.settings.callers.port()));
+    }
+    if (picked.empty()) {
+      return OwnReply(503, "no instance serves callers");
+    }
+    return platform.EncodeAddresses(picked, process.settings.addressTtl);
+  }
+
+  std::vector<boost::asio::ip::address> ServingAddresses()
+  {
     const auto now = steady_clock::now();
     process.peers.Self().ready = Ready();
     std::vector<AddressCandidate> candidates;
@@ -119,15 +132,30 @@
           it.address, Locality(it.failureDomain, now), it.cores, it.ready });
       }
     }
-    std::vector<std::string> picked;
-    for (const auto& it : PickAddresses(std::move(candidates))) {
-      picked.push_back(
-        fmt::format("{}:{}", it.to_string(), process.settings.callers.port()));
+    return PickAddresses(std::move(candidates));
+  }
+
+  /// Works out which instances callers are sent to, and so this one's shares.
+  void UpdateShares()
+  {
+    const auto now = steady_clock::now();
+    const auto named = ServingAddresses();
+    std::vector<InstanceId> serving;
+    for (const auto& it : process.peers.Alive(now)) {
+      if (std::find(named.begin(), named.end(), it.address) != named.end()) {
+        serving.push_back(it.instance);
+      }
     }
-    if (picked.empty()) {
-      return OwnReply(503, "no instance serves callers");
+    const auto former = process.shares.Divisor();
+    process.shares.Update(serving, now);
+    process.peers.Self().serving = process.shares.Serving();
+    if (process.shares.Divisor() != former) {
+      process.log.Write(
+        "shares_changed",
+        { { "serving", process.shares.Serving() },
+          { "divisor", static_cast<std::int64_t>(process.shares.Divisor()) } });
+      gateway.OnFleetChange();
     }
-    return platform.EncodeAddresses(picked, process.settings.addressTtl);
   }
 
   double Locality(const FailureDomain& aDomain, TimePoint aNow)
@@ -200,18 +228,17 @@
       return static_cast<std::int64_t>(process.metrics.Value(aCounter));
     };
     using bronzedeal::process::Counter;
-    process.log.Write(
-      "summary",
-      { { "whole", count(Counter::QueriesWhole) },
-        { "partial", count(Counter::QueriesPartial) },
-        { "failed", count(Counter::QueriesFailed) },
-        { "refused", count(Counter::QueriesRefused) },
-        { "sub_requests", count(Counter::SubRequestsServed) },
-        { "crossing", count(Counter::SubRequestsCrossing) },
-        { "hedges", count(Counter::Hedges) },
-        { "repeats_denied", count(Counter::RepeatsDenied) },
-        { "connections", count(Counter::ServerConnections) },
-        { "store_reads", count(Counter::PlatformReads) } });
+    process.log.Write("summary",
+                      { { "whole", count(Counter::QueriesWhole) },
+                        { "partial", count(Counter::QueriesPartial) },
+                        { "failed", count(Counter::QueriesFailed) },
+                        { "refused", count(Counter::QueriesRefused) },
+                        { "sub_requests", count(Counter::SubRequestsServed) },
+                        { "crossing", count(Counter::SubRequestsCrossing) },
+                        { "hedges", count(Counter::Hedges) },
+                        { "repeats_denied", count(Counter::RepeatsDenied) },
+                        { "connections", count(Counter::ServerConnections) },
+                        { "store_reads", count(Counter::PlatformReads) } });
     process.timers.At(steady_clock::now() + kSummary,
                       [this] { PollSummary(); });
   }
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -66,7 +66,7 @@
       Refuse();
       return;
     }
-    const auto instances = Process().peers.Sharing(now);
+    const auto instances = Process().shares.Divisor();
     for (auto& it : mShards) {
       it.group->repeats.OnFirstSend(Process().settings.repeats, instances, now);
     }
@@ -196,7 +196,7 @@
       return true;
     }
     if (aShard.group->repeats.TryTake(
-          Process().settings.repeats, Process().peers.Sharing(aNow), aNow)) {
+          Process().settings.repeats, Process().shares.Divisor(), aNow)) {
       return true;
     }
     Process().metrics.Add(process::Counter::RepeatsDenied);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,8 +5,6 @@
 
 namespace bronzedeal::gateway {
 
-using std::chrono::steady_clock;
-
 namespace {
 
 /// When a caller of an instance without a configuration should come back.
@@ -42,7 +40,7 @@
 void Gateway::OnFleetChange()
 {
   if (mTable) {
-    mServers.ApplyLimits(*mTable, mProcess.peers.Sharing(steady_clock::now()));
+    mServers.ApplyLimits(*mTable, mProcess.shares.Divisor());
   }
 }
 
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -8,12 +8,15 @@
 
 namespace {
 
-/// Between two watches of the servers: each call is priced, and a server that
-/// leaves must be out of use within 3 s.
-constexpr auto kServerPace = milliseconds(700);
-/// A watch of the operators' entries; short, so that a connection that has
-/// fallen silent delays a change by little.
-constexpr auto kOperatorWait = milliseconds(2500);
+/// Between two watches of the servers, as a part of the time within which a
+/// leaving server must be out of use: each call is priced, and one answer
+/// brings all changes since the last.
+constexpr double kServerPace = 0.25;
+/// The same for an instance that callers aren't sent to.
+constexpr double kIdleServerPace = 0.6;
+/// A watch of the operators' entries answers as soon as there is a change. A
+/// connection that has fallen silent is noticed by its keep-alive probes.
+constexpr auto kOperatorWait = milliseconds(25'000);
 constexpr auto kServerWait = milliseconds(1500);
 /// Beyond the wait until a call is given up.
 constexpr auto kReplySlack = milliseconds(700);
@@ -48,6 +51,13 @@
   return mTopic == Topic::Servers ? "servers" : "operators";
 }
 
+Duration MetadataFollower::ServerPace() const
+{
+  const double part = mProcess.shares.Serving() ? kServerPace : kIdleServerPace;
+  return std::chrono::duration_cast<Duration>(part *
+                                              mProcess.settings.drainBound);
+}
+
 void MetadataFollower::Start()
 {
   *mRunning = true;
@@ -179,7 +189,7 @@
   }
   mRevision = std::max(mRevision, aReply.revision);
   if (mTopic == Topic::Servers) {
-    After(kServerPace, &MetadataFollower::Watch);
+    After(ServerPace(), &MetadataFollower::Watch);
   } else {
     Watch();
   }
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -10,18 +10,19 @@
 
 namespace {
 
-/// Rounds of gossip; with two targets each, news reaches 75 instances in about
-/// six rounds.
-constexpr auto kRound = milliseconds(250);
-constexpr std::size_t kTargets = 2;
-/// When this instance leaves, most peers are told at once.
+constexpr auto kRound = milliseconds(300);
+/// Each round goes to one peer of the own failure domain; bytes between domains
+/// are dear, so only each third round goes to one of another, too.
+constexpr unsigned kFarRounds = 3;
+constexpr std::size_t kSmallFleet = 12;
+/// When this instance leaves or becomes ready, most peers are told at once.
 constexpr std::size_t kUrgentTargets = 8;
 
 } // namespace
 
-PeerGossip::PeerGossip(Process& aProcess, std::function<void()> aOnChange)
+PeerGossip::PeerGossip(Process& aProcess, std::function<void()> aOnRound)
   : mProcess(aProcess)
-  , mOnChange(std::move(aOnChange))
+  , mOnRound(std::move(aOnRound))
   , mSocket(aProcess.context)
   , mRandom(std::random_device{}())
 {
@@ -50,30 +51,36 @@
     return;
   }
   const auto now = steady_clock::now();
-  SendTo(kTargets, now);
-  const auto sharing = mProcess.peers.Sharing(now);
+  ++mRounds;
+  // A fleet of a few has too few peers nearby for one target to be enough.
+  const bool small = mProcess.peers.Alive(now).size() <= kSmallFleet;
+  SendTo(1, small || mRounds % kFarRounds == 0 ? 1 : 0, now);
   const auto alive = mProcess.peers.Alive(now).size();
   if (alive != mAlive) {
     mProcess.log.Write("instances_alive",
                        { { "former", static_cast<std::int64_t>(mAlive) },
-                         { "alive", static_cast<std::int64_t>(alive) },
-                         { "sharing", static_cast<std::int64_t>(sharing) } });
+                         { "alive", static_cast<std::int64_t>(alive) } });
     mAlive = alive;
     mProcess.metrics.Set(process::Gauge::MembersAlive,
                          static_cast<double>(alive));
   }
-  if (sharing != mSharing) {
-    mSharing = sharing;
-    mOnChange();
-  }
+  mOnRound();
   mProcess.timers.At(now + kRound, [this] { Round(); });
 }
 
-void PeerGossip::SendTo(std::size_t aTargets, TimePoint aNow)
+void PeerGossip::SendTo(std::size_t aNear, std::size_t aFar, TimePoint aNow)
 {
+  auto targets = mProcess.peers.Targets(aNear, aFar, aNow, mRandom);
+  const auto seed =
+    mProcess.peers.LostSeed(mProcess.settings.seeds, aNow, mRandom);
+  if (seed) {
+    targets.push_back(*seed);
+  }
+  if (targets.empty()) {
+    return;
+  }
   const auto text = EncodePeers(mProcess.peers.Digest(aNow, mRandom));
-  for (const auto& it : mProcess.peers.Targets(
-         mProcess.settings.seeds, aTargets, aNow, mRandom)) {
+  for (const auto& it : targets) {
     error_code ec;
     // A datagram that isn't sent is as good as a lost one.
     mSocket.send_to(boost::asio::buffer(text),
@@ -85,7 +92,7 @@
 
 void PeerGossip::SendNow()
 {
-  SendTo(kUrgentTargets, steady_clock::now());
+  SendTo(kUrgentTargets, kUrgentTargets, steady_clock::now());
 }
 
 void PeerGossip::Receive()
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -1,7 +1,5 @@
 #include "bronzedeal/gateway/peer_table.hpp"
 
-#include "bronzedeal/gateway/cold_allowance.hpp"
-
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -17,7 +15,7 @@
 /// docs/CAPACITY.md.
 constexpr std::size_t kMaxPeers = 4096;
 /// Members of one state in a datagram, in the order of EncodePeers.
-constexpr std::size_t kStateFields = 8;
+constexpr std::size_t kStateFields = 9;
 
 bool Newer(const PeerState& aLeft, const PeerState& aRight)
 {
@@ -35,7 +33,8 @@
 
 bool PeerTable::IsAlive(const Entry& aEntry, TimePoint aNow) const
 {
-  return aNow - aEntry.heardAt < mOptions.silence;
+  return aNow - aEntry.heardAt <
+         (aEntry.state.serving ? mOptions.silence : mOptions.idleSilence);
 }
 
 std::vector<PeerState> PeerTable::Digest(TimePoint aNow,
@@ -49,6 +48,8 @@
     }
   }
   std::shuffle(states.begin(), states.end(), aRandom);
+  std::stable_partition(
+    states.begin(), states.end(), [](const auto& it) { return it.serving; });
   if (states.size() >= mOptions.digestSize) {
     states.resize(mOptions.digestSize - 1);
   }
@@ -78,30 +79,44 @@
 }
 
 std::vector<boost::asio::ip::address> PeerTable::Targets(
-  const std::vector<boost::asio::ip::address>& aSeeds,
-  std::size_t aCount,
+  std::size_t aNear,
+  std::size_t aFar,
   TimePoint aNow,
   std::minstd_rand& aRandom) const
 {
-  std::vector<boost::asio::ip::address> targets;
+  std::vector<boost::asio::ip::address> near;
+  std::vector<boost::asio::ip::address> far;
   for (const auto& [address, entry] : mPeers) {
     if (IsAlive(entry, aNow)) {
-      targets.push_back(address);
+      const bool same = entry.state.failureDomain == mSelf.failureDomain;
+      (same ? near : far).push_back(address);
     }
   }
+  std::shuffle(near.begin(), near.end(), aRandom);
+  std::shuffle(far.begin(), far.end(), aRandom);
+  near.resize(std::min(near.size(), aNear));
+  far.resize(std::min(far.size(), aFar));
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+std::optional<boost::asio::ip::address> PeerTable::LostSeed(
+  const std::vector<boost::asio::ip::address>& aSeeds,
+  TimePoint aNow,
+  std::minstd_rand& aRandom) const
+{
   std::vector<boost::asio::ip::address> lost;
   for (const auto& it : aSeeds) {
-    if (it != mSelf.address &&
-        std::find(targets.begin(), targets.end(), it) == targets.end()) {
+    const auto known = mPeers.find(it);
+    const bool alive = known != mPeers.end() && IsAlive(known->second, aNow);
+    if (it != mSelf.address && !alive) {
       lost.push_back(it);
     }
   }
-  std::shuffle(targets.begin(), targets.end(), aRandom);
-  targets.resize(std::min(targets.size(), aCount));
-  if (!lost.empty()) {
-    targets.push_back(lost[aRandom() % lost.size()]);
+  if (lost.empty()) {
+    return std::nullopt;
   }
-  return targets;
+  return lost[aRandom() % lost.size()];
 }
 
 std::vector<PeerState> PeerTable::Alive(TimePoint aNow) const
@@ -115,25 +130,6 @@
   return alive;
 }
 
-unsigned PeerTable::Sharing(TimePoint aNow) const
-{
-  return 1 + static_cast<unsigned>(std::count_if(
-               mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
-                 return aNow - aPeer.second.heardAt < mOptions.memory;
-               }));
-}
-
-unsigned PeerTable::RankFor(const ServerId& aServer, TimePoint aNow) const
-{
-  const auto own = ColdRankHash(aServer, mSelf.instance);
-  return static_cast<unsigned>(
-    std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
-      const auto& [state, heardAt] = aPeer.second;
-      return aNow - heardAt < mOptions.memory &&
-             ColdRankHash(aServer, state.instance) < own;
-    }));
-}
-
 std::string EncodePeers(const std::vector<PeerState>& aStates)
 {
   json::array rows;
@@ -146,7 +142,8 @@
                                 it.heartbeat,
                                 it.cores,
                                 it.ready,
-                                it.leaving });
+                                it.leaving,
+                                it.serving });
   }
   return json::serialize(rows);
 }
@@ -167,7 +164,7 @@
     const auto& f = *fields;
     const bool typed = f[0].is_string() && f[1].is_string() &&
                        f[2].is_string() && f[5].is_double() && f[6].is_bool() &&
-                       f[7].is_bool();
+                       f[7].is_bool() && f[8].is_bool();
     if (!typed) {
       return false;
     }
@@ -187,6 +184,7 @@
     state.cores = f[5].get_double();
     state.ready = f[6].get_bool();
     state.leaving = f[7].get_bool();
+    state.serving = f[8].get_bool();
     aStates.push_back(std::move(state));
   }
   return true;
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -23,6 +23,7 @@
   : settings(std::move(aSettings))
   , log(settings.instance, std::move(aSink))
   , peers(SelfOf(settings), PeerTable::Options{})
+  , shares(settings.instance)
 {
 }
 
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -5,7 +5,6 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
-#include <netinet/tcp.h>
 
 namespace bronzedeal::gateway {
 
@@ -42,16 +41,6 @@
 
 } // namespace
 
-void SetConnectionOptions(asio::ip::tcp::socket& aSocket,
-                          milliseconds aSilence,
-                          error_code& aError)
-{
-  aSocket.set_option(asio::ip::tcp::no_delay(true), aError);
-  using UserTimeout =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  aSocket.set_option(UserTimeout(static_cast<int>(aSilence.count())), aError);
-}
-
 ServerConnection::ServerConnection(asio::io_context& aContext,
                                    TimerQueue& aTimers,
                                    std::size_t aMaxResponseBody)
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -48,7 +48,7 @@
       Process().timers.At(mRequest.deadline - kAnswerMargin,
                           [self = shared_from_this()] { self->OnDeadline(); });
     mGroup.repeats.OnFirstSend(Process().settings.repeats,
-                               Process().peers.Sharing(steady_clock::now()),
+                               Process().shares.Divisor(),
                                steady_clock::now());
     Continue();
   }
@@ -97,7 +97,7 @@
       return false;
     }
     if (repeat && !mGroup.repeats.TryTake(Process().settings.repeats,
-                                          Process().peers.Sharing(now),
+                                          Process().shares.Divisor(),
                                           now)) {
       Process().metrics.Add(process::Counter::RepeatsDenied);
       mExhausted = mRunning.empty();
