Follow full answers of a watch at once, and work out localities once

Change: a full answer is followed at once; the usual latency is a moving median; localities are worked out once per domain; the process ends a sixth of the grace time before it would be killed. Ruled out: lapsed entries (no loss of the store in the log of that instance). Tests: six of the follower.

--- a/include/bronzedeal/gateway/exchange.hpp
+++ b/include/bronzedeal/gateway/exchange.hpp
@@ -26,7 +26,7 @@
   virtual void Abandon() = 0;
 };
 
-/// Usual latency of a route's requests at their servers, a moving average.
+/// Usual latency of a route's requests at their servers, a moving median.
 class RouteLatency
 {
 public:
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -20,8 +20,8 @@
 /// Callers keep an address answer for its lifetime, some for three times that;
 /// new connections are accepted this long after SIGTERM.
 constexpr auto kDrainAccept = milliseconds(3000);
-/// The process ends this long before it would be killed.
-constexpr auto kExitMargin = milliseconds(500);
+/// The process ends this part of the grace time before it would be killed.
+constexpr int kExitMarginShare = 6;
 constexpr auto kDrainPoll = milliseconds(50);
 /// A changed settings file is noticed without a signal, too.
 constexpr auto kReloadPoll = std::chrono::seconds(1);
@@ -126,11 +126,19 @@
     const auto now = steady_clock::now();
     process.peers.Self().ready = Ready();
     std::vector<AddressCandidate> candidates;
+    // Worked out once for each domain: it looks at all servers.
+    std::map<FailureDomain, double> localities;
     for (const auto& it : process.peers.Alive(now)) {
-      if (!it.leaving) {
-        candidates.push_back(AddressCandidate{
-          it.address, Locality(it.failureDomain, now), it.cores, it.ready });
+      if (it.leaving) {
+        continue;
       }
+      const auto [locality, isNew] =
+        localities.try_emplace(it.failureDomain, 0);
+      if (isNew) {
+        locality->second = Locality(it.failureDomain, now);
+      }
+      candidates.push_back(
+        AddressCandidate{ it.address, locality->second, it.cores, it.ready });
     }
     return PickAddresses(std::move(candidates));
   }
@@ -268,7 +276,8 @@
       callers.CloseIdle();
     }
     const bool finished = elapsed >= accept && callers.Busy() == 0;
-    if (finished || elapsed >= process.settings.shutdownGrace - kExitMargin) {
+    const auto grace = process.settings.shutdownGrace;
+    if (finished || elapsed >= grace - grace / kExitMarginShare) {
       process.log.Write(
         "stop_ends",
         { { "requests", static_cast<std::int64_t>(callers.Busy()) },
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -9,10 +9,9 @@
 
 /// Usual latency before the first sample, as a part of the objective.
 constexpr double kInitialShare = 1.0 / 6;
-constexpr double kSampleWeight = 0.05;
-/// One sample counts at most this many times the average, so that a paused or
-/// slow server doesn't move it.
-constexpr double kMaxSample = 3;
+/// Each sample moves the estimate by this part of itself, up or down: it tends
+/// to the median, which a minority of slow servers doesn't move.
+constexpr double kMedianStep = 0.01;
 /// Servers stop this long after the caller has left: below half a second, and
 /// most requests end by themselves within it, which keeps their connections.
 constexpr auto kAfterLeave = milliseconds(250);
@@ -32,8 +31,8 @@
 void RouteLatency::Add(const Route& aRoute, Duration aLatency)
 {
   const double current = Typical(aRoute);
-  const double sample = std::min(Milliseconds(aLatency), kMaxSample * current);
-  mTypical[aRoute.name] = current + kSampleWeight * (sample - current);
+  const bool above = Milliseconds(aLatency) > current;
+  mTypical[aRoute.name] = current * (above ? 1 + kMedianStep : 1 - kMedianStep);
 }
 
 std::shared_ptr<ServerRequest> MakeServerRequest(
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -18,6 +18,9 @@
 /// connection that has fallen silent is noticed by its keep-alive probes.
 constexpr auto kOperatorWait = milliseconds(25'000);
 constexpr auto kServerWait = milliseconds(1500);
+/// An answer holds a limited number of changes; from this number on, more are
+/// taken to wait, and the next watch follows at once.
+constexpr std::size_t kFullReply = 250;
 /// Beyond the wait until a call is given up.
 constexpr auto kReplySlack = milliseconds(700);
 constexpr auto kListTimeout = milliseconds(1500);
@@ -188,7 +191,15 @@
     Apply(it);
   }
   mRevision = std::max(mRevision, aReply.revision);
-  if (mTopic == Topic::Servers) {
+  const bool behind = aReply.changes.size() >= kFullReply;
+  if (behind) {
+    mProcess.log.Write(
+      "metadata_behind",
+      { { "topic", TopicName() },
+        { "changes", static_cast<std::int64_t>(aReply.changes.size()) },
+        { "revision", static_cast<std::int64_t>(mRevision) } });
+  }
+  if (mTopic == Topic::Servers && !behind) {
     After(ServerPace(), &MetadataFollower::Watch);
   } else {
     Watch();
--- /dev/null
+++ b/tests/gateway/follower_test.cpp
@@ -0,0 +1,182 @@
+#include "support.hpp"
+
+#include "bronzedeal/gateway/metadata_follower.hpp"
+
+#include <deque>
+#include <gtest/gtest.h>
+
+namespace bronzedeal::gateway::test {
+
+namespace {
+
+/// A metadata service that answers as a test has queued up; a call without a
+/// queued answer waits for ever.
+class ScriptedSource : public MetadataSource
+{
+public:
+  void List(Topic,
+            const std::string& aPage,
+            Duration,
+            Handler aHandler) override
+  {
+    calls.push_back("list " + aPage);
+    Answer(std::move(aHandler));
+  }
+
+  void Watch(Topic,
+             std::uint64_t aRevision,
+             milliseconds,
+             Duration,
+             Handler aHandler) override
+  {
+    calls.push_back("watch " + std::to_string(aRevision));
+    Answer(std::move(aHandler));
+  }
+
+  std::deque<MetadataReply> replies;
+  std::vector<std::string> calls;
+
+private:
+  void Answer(Handler aHandler)
+  {
+    if (!replies.empty()) {
+      auto reply = std::move(replies.front());
+      replies.pop_front();
+      aHandler(std::move(reply));
+    }
+  }
+};
+
+ServerRecord Record(const std::string& aId)
+{
+  ServerRecord record;
+  record.id = aId;
+  record.group = "g0";
+  record.address = { asio::ip::address_v4::loopback(), 9 };
+  record.failureDomain = "fd-a";
+  return record;
+}
+
+MetadataReply Reply(std::uint64_t aRevision, std::vector<Change> aChanges = {})
+{
+  MetadataReply reply;
+  reply.status = MetadataStatus::Ok;
+  reply.revision = aRevision;
+  for (auto& it : aChanges) {
+    reply.changes.push_back({ aRevision, std::move(it) });
+  }
+  return reply;
+}
+
+struct Following : World
+{
+  Following() { process.settings.drainBound = milliseconds(40); }
+
+  void RunCalls(std::size_t aCount)
+  {
+    follower.Start();
+    RunUntil([&] { return source.calls.size() >= aCount; });
+  }
+
+  ScriptedSource source;
+  MetadataFollower follower{ process,
+                             gateway,
+                             servers,
+                             source,
+                             Topic::Servers };
+};
+
+} // namespace
+
+// Guards against changes between the pages of a list being lost: the watch
+// begins at the revision of the first page.
+TEST(MetadataFollower, WatchesFromTheFirstPage)
+{
+  Following world;
+  auto first = Reply(7, { ServerChanged{ Record("s-0") } });
+  first.nextPage = "s-0";
+  world.source.replies = { first,
+                           Reply(9, { ServerChanged{ Record("s-1") } }) };
+  world.RunCalls(3);
+  EXPECT_EQ(world.source.calls,
+            (std::vector<std::string>{ "list ", "list s-0", "watch 7" }));
+  EXPECT_EQ(world.servers.size(), 2U);
+}
+
+// Guards against an answer that holds only part of the changes delaying the
+// rest by the usual pause (DRAIN on gaonsan-hide-grown, trouble-1).
+TEST(MetadataFollower, WatchesAgainAtOnceAfterAFullAnswer)
+{
+  Following world;
+  world.process.settings.drainBound = std::chrono::hours(1);
+  world.source.replies = {
+    Reply(1), Reply(501, std::vector<Change>(500, ServerGone{ "s-9" }))
+  };
+  world.RunCalls(3);
+  EXPECT_EQ(world.source.calls.back(), "watch 501");
+}
+
+// Guards against servers of a forgotten history staying in use.
+TEST(MetadataFollower, ListsAgainWhenTheHistoryIsGone)
+{
+  Following world;
+  MetadataReply gone;
+  gone.status = MetadataStatus::HistoryGone;
+  world.source.replies = {
+    Reply(1,
+          { ServerChanged{ Record("s-0") }, ServerChanged{ Record("s-1") } }),
+    gone,
+    Reply(5, { ServerChanged{ Record("s-1") } }),
+  };
+  world.RunCalls(4);
+  EXPECT_EQ(world.source.calls.back(), "watch 5");
+  EXPECT_EQ(world.servers.Ids(), std::vector<ServerId>{ "s-1" });
+}
+
+// Guards against a server that another writer's entry stands for staying in
+// use, and against that entry harming the others.
+TEST(MetadataFollower, DropsOnlyTheServerOfAnInvalidEntry)
+{
+  Following world;
+  world.source.replies = {
+    Reply(1,
+          { ServerChanged{ Record("s-0") }, ServerChanged{ Record("s-1") } }),
+    Reply(2, { InvalidEntry{ "servers/s-0", "s-0", "no JSON" } }),
+  };
+  world.RunCalls(3);
+  EXPECT_EQ(world.servers.Ids(), std::vector<ServerId>{ "s-1" });
+}
+
+// Guards against work for a server that was removed while the service is calm.
+TEST(MetadataFollower, RemovesADeletedServerAtOnce)
+{
+  Following world;
+  world.source.replies = { Reply(1, { ServerChanged{ Record("s-0") } }),
+                           Reply(2, { ServerGone{ "s-0" } }) };
+  world.RunCalls(3);
+  EXPECT_EQ(world.servers.size(), 0U);
+}
+
+// Guards against the loss of servers whose entries lapsed while the service
+// was away, and against keeping those that don't come back.
+TEST(MetadataFollower, GivesLapsedEntriesTimeToComeBack)
+{
+  Following world;
+  world.source.replies = {
+    Reply(1,
+          { ServerChanged{ Record("s-0") }, ServerChanged{ Record("s-1") } }),
+  };
+  // Four failed watches take longer than entries need to lapse.
+  for (int n = 0; n < 6; ++n) {
+    world.source.replies.push_back(MetadataReply{});
+  }
+  world.source.replies.push_back(
+    Reply(2, { ServerGone{ "s-0" }, ServerGone{ "s-1" } }));
+  world.source.replies.push_back(Reply(3, { ServerChanged{ Record("s-1") } }));
+  world.RunCalls(10);
+  EXPECT_EQ(world.servers.size(), 2U);
+  world.RunUntil([&] { return world.servers.size() == 1; });
+  EXPECT_EQ(world.servers.Ids(), std::vector<ServerId>{ "s-1" });
+}
+
+} // namespace bronzedeal::gateway::test
