Gather the shards of another failure domain at an instance there

Change: shards whose best server is elsewhere go as one partial query to a serving instance of that domain, which merges the greatest records; a shard keeps the same two permitted servers on both sides; a silent or failed instance is replaced by direct sends within the repeat budget.

--- a/include/bronzedeal/gateway/exchange.hpp
+++ b/include/bronzedeal/gateway/exchange.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "bronzedeal/gateway/http_message.hpp"
+#include "bronzedeal/gateway/partial_query.hpp"
+#include "bronzedeal/gateway/peer_pool.hpp"
 #include "bronzedeal/gateway/process.hpp"
 #include "bronzedeal/gateway/server_registry.hpp"
 
@@ -44,14 +46,16 @@
   Process& process;
   ServerRegistry& servers;
   RouteLatency& latency;
+  PeerPool& peers;
 };
 
 /// One request, the route that it takes, and the version that names the route.
 struct RoutedRequest
 {
   CallerRequest caller;
-  std::shared_ptr<const RouteTable> table;
-  const Route* route = nullptr;
+  /// Keeps the version's table alive.
+  std::shared_ptr<const Route> route;
+  ConfigVersion version = 0;
   /// When the caller has its final answer: the route's timeout, or earlier when
   /// the caller waits less.
   TimePoint deadline{};
@@ -73,9 +77,16 @@
                                               const std::string& aGroup,
                                               ReplyHandler aReply);
 
-/// Sends to one server of each shard and merges the greatest records.
+/// Sends to one server of each shard and merges the greatest records. Shards
+/// whose servers are in other failure domains are gathered by instances there.
 std::shared_ptr<Exchange> StartFanoutExchange(const ExchangeContext& aContext,
                                               RoutedRequest aRequest,
                                               ReplyHandler aReply);
 
+/// Gathers a part of another instance's query.
+std::shared_ptr<Exchange> StartPartialExchange(const ExchangeContext& aContext,
+                                               CallerRequest aRequest,
+                                               const PartialQuery& aQuery,
+                                               ReplyHandler aReply);
+
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/gateway.hpp
+++ b/include/bronzedeal/gateway/gateway.hpp
@@ -27,15 +27,22 @@
   /// null then or may be ignored.
   std::shared_ptr<Exchange> Handle(CallerRequest aRequest, ReplyHandler aReply);
 
+  /// Starts a part of another instance's query.
+  std::shared_ptr<Exchange> HandlePartial(CallerRequest aRequest,
+                                          ReplyHandler aReply);
+
   /// Shares of limits follow the number of instances.
   void OnFleetChange();
 
+  [[nodiscard]] PeerPool& Peers() noexcept { return mPeers; }
+
 private:
   [[nodiscard]] const std::string& PickGroup(const Route& aRoute);
 
   Process& mProcess;
   ServerRegistry& mServers;
   RouteLatency mLatency;
+  PeerPool mPeers;
   std::shared_ptr<const RouteTable> mTable;
   /// What each target of a weighted route is owed (smooth round robin).
   std::unordered_map<std::string, std::unordered_map<std::string, double>>
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -58,6 +58,17 @@
     const UsedServers& aAvoid,
     TimePoint aNow);
 
+  /// The same without taking of a cold server's allowance: the best servers
+  /// first, at most `aCount`.
+  [[nodiscard]] std::vector<std::shared_ptr<BackendServer>> Best(
+    const GroupState& aGroup,
+    const RequestView& aRequest,
+    std::size_t aCount,
+    TimePoint aNow) const;
+
+  /// The server of that id; null when it isn't known.
+  [[nodiscard]] std::shared_ptr<BackendServer> Find(const ServerId& aId) const;
+
   /// Whether a server of the group may be used at all now.
   [[nodiscard]] bool HasUsable(const GroupState& aGroup, TimePoint aNow) const;
 
@@ -72,6 +83,12 @@
 
 private:
   [[nodiscard]] bool MayUse(const BackendServer& aServer, TimePoint aNow) const;
+  /// The usable servers by cost, least first.
+  [[nodiscard]] std::vector<std::pair<double, BackendServer*>> ByCost(
+    const GroupState& aGroup,
+    const RequestView& aRequest,
+    const UsedServers& aAvoid,
+    TimePoint aNow) const;
   void ApplyShare(BackendServer& aServer) const;
 
   Process& mProcess;
--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -40,6 +40,7 @@
   CallersLeft,
   RepeatsDenied,
   SubRequestsCrossing,
+  PartialQueries,
   ServerConnections,
   ServerConnectFailures,
   LogLinesDropped,
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -61,6 +61,12 @@
           aReply(AnswerAddresses(aRequest));
           return nullptr;
         })
+    , instances(
+        process,
+        { process.settings.gossip.address(), process.settings.gossip.port() },
+        [this](CallerRequest aRequest, ReplyHandler aReply) {
+          return OnInstanceRequest(std::move(aRequest), std::move(aReply));
+        })
     , signals(process.context, SIGTERM, SIGINT, SIGHUP)
   {
     if (process.settings.metrics) {
@@ -92,6 +98,16 @@
     return gateway.Handle(std::move(aRequest), std::move(aReply));
   }
 
+  std::shared_ptr<Exchange> OnInstanceRequest(CallerRequest aRequest,
+                                              ReplyHandler aReply)
+  {
+    if (!serverFollower.Synchronized()) {
+      aReply(RefusedReply("no servers known yet", milliseconds(200)));
+      return nullptr;
+    }
+    return gateway.HandlePartial(std::move(aRequest), std::move(aReply));
+  }
+
   [[nodiscard]] bool Ready() const
   {
     return !draining && gateway.Table() && serverFollower.Synchronized();
@@ -157,6 +173,7 @@
     const auto former = process.shares.Divisor();
     process.shares.Update(serving, now);
     process.peers.Self().serving = process.shares.Serving();
+    gateway.Peers().Update(process.peers.Alive(now));
     if (process.shares.Divisor() != former) {
       process.log.Write(
         "shares_changed",
@@ -243,6 +260,7 @@
                         { "refused", count(Counter::QueriesRefused) },
                         { "sub_requests", count(Counter::SubRequestsServed) },
                         { "crossing", count(Counter::SubRequestsCrossing) },
+                        { "partial_queries", count(Counter::PartialQueries) },
                         { "hedges", count(Counter::Hedges) },
                         { "repeats_denied", count(Counter::RepeatsDenied) },
                         { "connections", count(Counter::ServerConnections) },
@@ -318,6 +336,8 @@
   CallerListener callers;
   CallerListener readiness;
   CallerListener addresses;
+  /// Parts of other instances' queries, on the port of the gossip.
+  CallerListener instances;
   std::unique_ptr<CallerListener> metrics;
   boost::asio::signal_set signals;
   ConfigVersion limitsVersion = 0;
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -1,9 +1,11 @@
 #include "bronzedeal/gateway/exchange.hpp"
+#include "bronzedeal/gateway/partial_query.hpp"
 #include "bronzedeal/gateway/record_merge.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <map>
 
 namespace bronzedeal::gateway {
 
@@ -21,6 +23,18 @@
 constexpr auto kAnswerMargin = milliseconds(30);
 /// Sends that a shard may take in all, those included that servers refused.
 constexpr unsigned kMaxSends = 6;
+/// Fewest shards in another failure domain that an instance there gathers; for
+/// fewer, the hop costs more than the bytes.
+constexpr std::size_t kMinBatch = 2;
+/// Servers that a gathering instance may use for a shard.
+constexpr std::size_t kMaxBatchServers = 2;
+/// Shards of a partial query are sent to servers directly after this many times
+/// the usual latency, and a little for the hop: by then the gathering instance
+/// has asked a second server, and that one has answered.
+constexpr double kBatchFactor = 3.5;
+constexpr double kBatchHopMs = 8;
+/// A gathering instance answers this long before the objective's margin.
+constexpr auto kHopMargin = milliseconds(6);
 /// Between tries of shards without a usable server.
 constexpr auto kRetryPause = milliseconds(50);
 constexpr auto kRetryAfter = milliseconds(100);
@@ -36,8 +50,10 @@
   , public std::enable_shared_from_this<FanoutExchange>
 {
 public:
+  /// `aPartial` is null for a caller's own query.
   FanoutExchange(const ExchangeContext& aContext,
                  RoutedRequest aRequest,
+                 const PartialQuery* aPartial,
                  ReplyHandler aReply)
     : mContext(aContext)
     , mRequest(std::move(aRequest))
@@ -46,7 +62,12 @@
     , mSoftDeadline(std::min(mRequest.caller.received +
                                mRequest.route->objective - kObjectiveMargin,
                              mRequest.deadline - kAnswerMargin))
+    , mIsPartial(aPartial != nullptr)
   {
+    if (aPartial != nullptr) {
+      InitPartial(*aPartial);
+      return;
+    }
     const auto& shards = mRequest.route->shards;
     mNeeded = std::max<std::size_t>(
       1,
@@ -59,6 +80,23 @@
     }
   }
 
+  void InitPartial(const PartialQuery& aPartial)
+  {
+    // The asking instance decides what coverage is enough.
+    mNeeded = 0;
+    mSoftDeadline = mRequest.caller.received + aPartial.answerWithin;
+    mShards.reserve(aPartial.shards.size());
+    for (const auto& it : aPartial.shards) {
+      Shard shard{ &mContext.servers.Group(it.group) };
+      for (const auto& id : it.servers) {
+        if (const auto server = mContext.servers.Find(id)) {
+          shard.allowed.push_back(server.get());
+        }
+      }
+      mShards.push_back(std::move(shard));
+    }
+  }
+
   void Start()
   {
     const auto now = steady_clock::now();
@@ -66,13 +104,16 @@
       Refuse();
       return;
     }
-    const auto instances = Process().shares.Divisor();
-    for (auto& it : mShards) {
-      it.group->repeats.OnFirstSend(Process().settings.repeats, instances, now);
-    }
     mStarting = true;
+    if (!mIsPartial) {
+      SendBatches(now);
+    }
     for (std::size_t n = 0; n < mShards.size(); ++n) {
-      TrySend(n, now);
+      if (mShards[n].running.empty() && !mShards[n].done) {
+        mShards[n].group->repeats.OnFirstSend(
+          Process().settings.repeats, Process().shares.Divisor(), now);
+        TrySend(n, now);
+      }
     }
     mStarting = false;
     Advance();
@@ -101,6 +142,8 @@
     UsedServers ran;
     /// Servers that the next try leaves out.
     UsedServers avoid;
+    /// The only servers that may be asked; all when empty.
+    UsedServers allowed;
     unsigned sends = 0;
     bool arrived = false;
     bool done = false;
@@ -111,6 +154,14 @@
     std::string signature;
   };
 
+  /// A partial query at an instance in another failure domain.
+  struct Batch
+  {
+    std::shared_ptr<BackendServer> peer;
+    std::shared_ptr<Attempt> attempt;
+    std::vector<std::size_t> shards;
+  };
+
   /// Keeps 0.95 x 20 from counting as 20.
   static constexpr double kRounding = 1e-9;
 
@@ -159,28 +210,188 @@
         mRequest.route->maxAttempts) {
       return aShard.running.empty() ? AgainToRan(aShard, aNow) : nullptr;
     }
-    auto server = mContext.servers.Choose(
-      *aShard.group, mServerRequest->view, aShard.avoid, aNow);
+    auto server = Choose(aShard, aShard.avoid, aNow);
     if (!server && aShard.running.empty()) {
       aShard.avoid.clear();
-      server = mContext.servers.Choose(
-        *aShard.group, mServerRequest->view, aShard.avoid, aNow);
+      server = Choose(aShard, {}, aNow);
     }
     return server;
   }
 
   std::shared_ptr<BackendServer> AgainToRan(Shard& aShard, TimePoint aNow)
+  {
+    return mContext.servers.Choose(
+      *aShard.group, mServerRequest->view, AllBut(aShard, aShard.ran), aNow);
+  }
+
+  std::shared_ptr<BackendServer> Choose(Shard& aShard,
+                                        UsedServers aAvoid,
+                                        TimePoint aNow)
+  {
+    if (!aShard.allowed.empty()) {
+      const auto others = AllBut(aShard, aShard.allowed);
+      aAvoid.insert(aAvoid.end(), others.begin(), others.end());
+    }
+    return mContext.servers.Choose(
+      *aShard.group, mServerRequest->view, aAvoid, aNow);
+  }
+
+  static UsedServers AllBut(const Shard& aShard, const UsedServers& aKept)
   {
     UsedServers others;
     for (const auto& it : aShard.group->servers) {
-      const auto ran =
-        std::find(aShard.ran.begin(), aShard.ran.end(), it.get());
-      if (ran == aShard.ran.end()) {
+      if (std::find(aKept.begin(), aKept.end(), it.get()) == aKept.end()) {
         others.push_back(it.get());
       }
     }
-    return mContext.servers.Choose(
-      *aShard.group, mServerRequest->view, others, aNow);
+    return others;
+  }
+
+  /// Hands the shards whose best server is in another failure domain to
+  /// instances there.
+  void SendBatches(TimePoint aNow)
+  {
+    std::map<FailureDomain, std::vector<std::size_t>> foreign;
+    const auto servers =
+      std::min<std::size_t>(kMaxBatchServers, mRequest.route->maxAttempts);
+    for (std::size_t n = 0; n < mShards.size(); ++n) {
+      auto& shard = mShards[n];
+      const auto best = mContext.servers.Best(
+        *shard.group, mServerRequest->view, servers, aNow);
+      if (best.empty() || best.front()->Cold(aNow) ||
+          best.front()->Record().failureDomain ==
+            Process().settings.failureDomain) {
+        continue;
+      }
+      for (const auto& it : best) {
+        shard.allowed.push_back(it.get());
+      }
+      foreign[best.front()->Record().failureDomain].push_back(n);
+    }
+    for (auto& [domain, shards] : foreign) {
+      const auto peer = shards.size() >= kMinBatch
+                          ? mContext.peers.Find(domain, aNow)
+                          : nullptr;
+      if (peer) {
+        DispatchBatch(peer, std::move(shards), aNow);
+      } else {
+        for (const auto n : shards) {
+          mShards[n].allowed.clear();
+        }
+      }
+    }
+  }
+
+  void DispatchBatch(const std::shared_ptr<BackendServer>& aPeer,
+                     std::vector<std::size_t> aShards,
+                     TimePoint aNow)
+  {
+    PartialQuery query;
+    query.topRecords = mRequest.route->topRecords;
+    query.priority = mRequest.route->priority;
+    query.answerWithin = std::chrono::ceil<milliseconds>(
+      std::max<Duration>(mSoftDeadline - kHopMargin - aNow, milliseconds(1)));
+    query.objective = mRequest.route->objective;
+    const auto slot = ++mSlots;
+    ++mSends;
+    for (const auto n : aShards) {
+      auto& shard = mShards[n];
+      PartialShard part{ shard.group->name, {} };
+      for (const auto* it : shard.allowed) {
+        part.servers.push_back(it->Record().id);
+      }
+      query.shards.push_back(std::move(part));
+      shard.avoid.push_back(shard.allowed.front());
+      shard.running.push_back(Running{ aPeer, nullptr, slot });
+      shard.hedgeAt =
+        aNow + FromMilliseconds(kBatchHopMs +
+                                kBatchFactor * mServerRequest->view.typicalMs);
+    }
+    auto request = std::make_shared<ServerRequest>(*mServerRequest);
+    request->head.insert(request->head.find("\r\n") + 2,
+                         EncodePartialQuery(query));
+    Process().metrics.Add(process::Counter::PartialQueries);
+    mBatches.emplace(slot, Batch{ aPeer, nullptr, std::move(aShards) });
+    auto attempt =
+      aPeer->Send(request,
+                  [self = shared_from_this(), slot](
+                    auto aResult, auto aFault, ResponseMessage* aResponse) {
+                    self->OnBatch(slot, aResult, aFault, aResponse);
+                  });
+    const auto it = mBatches.find(slot);
+    if (it != mBatches.end()) {
+      it->second.attempt = std::move(attempt);
+    }
+  }
+
+  void OnBatch(unsigned aSlot,
+               AttemptResult aResult,
+               AttemptFault aFault,
+               ResponseMessage* aResponse)
+  {
+    const auto node = mBatches.extract(aSlot);
+    if (!mReply || node.empty()) {
+      return;
+    }
+    const auto& batch = node.mapped();
+    for (const auto n : batch.shards) {
+      std::erase_if(mShards[n].running,
+                    [&](const auto& it) { return it.slot == aSlot; });
+    }
+    const bool taken =
+      aResult == AttemptResult::Answered && TakeMerged(batch, *aResponse);
+    if (!taken) {
+      Process().log.Write(
+        "partial_failed",
+        { { "request", mRequest.caller.requestId },
+          { "instance", batch.peer->Record().id },
+          { "fault", Name(aFault) },
+          { "shards", static_cast<std::int64_t>(batch.shards.size()) } });
+    }
+    const auto now = steady_clock::now();
+    for (const auto n : batch.shards) {
+      auto& shard = mShards[n];
+      shard.arrived = shard.arrived || aResult != AttemptResult::NotRun;
+      if (!shard.done && shard.running.empty()) {
+        TrySend(n, now);
+      }
+    }
+    if (!mStarting) {
+      Advance();
+    }
+  }
+
+  /// Takes the merged records of a partial query; false when the answer is
+  /// none. A shard that a server has answered meanwhile counts as part of the
+  /// merged records, since these can't be taken apart.
+  bool TakeMerged(const Batch& aBatch, ResponseMessage& aResponse)
+  {
+    const auto parts = DecodePartialParts(aResponse);
+    if (!parts) {
+      return false;
+    }
+    std::vector<Shard*> included;
+    for (const auto& part : *parts) {
+      const auto it = std::find_if(
+        aBatch.shards.begin(), aBatch.shards.end(), [&](const auto n) {
+          return mShards[n].group->name == part.group;
+        });
+      if (it == aBatch.shards.end() || part.signature.empty()) {
+        return false;
+      }
+      included.push_back(&mShards[*it]);
+    }
+    const auto now = steady_clock::now();
+    for (std::size_t n = 0; n < included.size(); ++n) {
+      auto& shard = *included[n];
+      mDone += shard.done ? 0 : 1;
+      shard.done = true;
+      shard.body.clear();
+      shard.signature = (*parts)[n].signature;
+      ReleaseShard(shard, now, false);
+    }
+    mMerged.push_back(std::move(aResponse.body()));
+    return true;
   }
 
   /// The first arrival is free; others draw on the group's repeats.
@@ -383,25 +594,48 @@
     CallerReply reply;
     std::vector<std::string_view> bodies;
     bodies.reserve(mShards.size());
-    std::string signatures;
     for (const auto& it : mShards) {
       if (it.done) {
         bodies.emplace_back(it.body);
+      }
+    }
+    bodies.insert(bodies.end(), mMerged.begin(), mMerged.end());
+    reply.headers = mIsPartial ? PartHeaders() : CoverageHeaders();
+    reply.body = MergeGreatest(bodies, mRequest.route->topRecords);
+    if (!mIsPartial) {
+      Process().metrics.Add(mDone == mShards.size()
+                              ? process::Counter::QueriesWhole
+                              : process::Counter::QueriesPartial);
+    }
+    Finish(std::move(reply), "merged");
+  }
+
+  [[nodiscard]] std::string CoverageHeaders()
+  {
+    std::string signatures;
+    for (const auto& it : mShards) {
+      if (it.done) {
         signatures += signatures.empty() ? "" : ", ";
         signatures += it.signature;
       }
     }
     const auto& names = Process().settings.headers;
-    const auto missing = mShards.size() - mDone;
-    reply.headers = fmt::format("{}: {}\r\n{}: {}\r\n",
-                                names.partSignatures,
-                                signatures,
-                                names.missingShards,
-                                missing);
-    reply.body = MergeGreatest(bodies, mRequest.route->topRecords);
-    Process().metrics.Add(missing == 0 ? process::Counter::QueriesWhole
-                                       : process::Counter::QueriesPartial);
-    Finish(std::move(reply), "merged");
+    return fmt::format("{}: {}\r\n{}: {}\r\n",
+                       names.partSignatures,
+                       signatures,
+                       names.missingShards,
+                       mShards.size() - mDone);
+  }
+
+  [[nodiscard]] std::string PartHeaders() const
+  {
+    std::vector<PartialPart> parts;
+    for (const auto& it : mShards) {
+      if (it.done) {
+        parts.push_back({ it.group->name, it.signature });
+      }
+    }
+    return EncodePartialParts(parts);
   }
 
   void FinishShort(std::string_view aCause)
@@ -424,7 +658,9 @@
   {
     auto reply = std::exchange(mReply, nullptr);
     const auto took = steady_clock::now() - mRequest.caller.received;
-    Process().metrics.ObserveQuery(Milliseconds(took) / 1000);
+    if (!mIsPartial) {
+      Process().metrics.ObserveQuery(Milliseconds(took) / 1000);
+    }
     if (mDone != mShards.size() || took >= mRequest.route->objective) {
       LogEnd(aReply.status, aCause, took);
     }
@@ -444,10 +680,10 @@
       }
     }
     Process().log.Write(
-      "request_end",
+      mIsPartial ? "partial_end" : "request_end",
       { { "request", mRequest.caller.requestId },
         { "route", mRequest.route->name },
-        { "version", static_cast<std::int64_t>(mRequest.table->Version()) },
+        { "version", static_cast<std::int64_t>(mRequest.version) },
         { "status", static_cast<std::int64_t>(aStatus) },
         { "cause", aCause },
         { "shards", static_cast<std::int64_t>(mShards.size()) },
@@ -466,6 +702,12 @@
     for (auto& it : mShards) {
       ReleaseShard(it, now, aCallerLeft);
     }
+    for (const auto& [slot, batch] : std::exchange(mBatches, {})) {
+      if (batch.attempt) {
+        batch.peer->Release(batch.attempt,
+                            ReleaseTime(mRequest, aCallerLeft, now));
+      }
+    }
   }
 
   ExchangeContext mContext;
@@ -474,7 +716,12 @@
   std::shared_ptr<ServerRequest> mServerRequest;
   /// From here on an answer with the least coverage leaves at once.
   TimePoint mSoftDeadline;
+  /// It gathers a part of another instance's query.
+  bool mIsPartial;
   std::vector<Shard> mShards;
+  std::map<unsigned, Batch> mBatches;
+  /// Records that other instances have merged.
+  std::vector<std::string> mMerged;
   std::size_t mNeeded = 1;
   std::size_t mDone = 0;
   unsigned mSlots = 0;
@@ -491,7 +738,30 @@
                                               ReplyHandler aReply)
 {
   auto exchange = std::make_shared<FanoutExchange>(
-    aContext, std::move(aRequest), std::move(aReply));
+    aContext, std::move(aRequest), nullptr, std::move(aReply));
+  exchange->Start();
+  return exchange;
+}
+
+std::shared_ptr<Exchange> StartPartialExchange(const ExchangeContext& aContext,
+                                               CallerRequest aRequest,
+                                               const PartialQuery& aQuery,
+                                               ReplyHandler aReply)
+{
+  auto route = std::make_shared<Route>();
+  // Keeps the usual latency of partial queries with one objective.
+  route->name = fmt::format("partial/{}", aQuery.objective.count());
+  route->objective = aQuery.objective;
+  route->maxAttempts = kMaxBatchServers;
+  route->priority = aQuery.priority;
+  route->topRecords = aQuery.topRecords;
+  RoutedRequest request;
+  request.deadline = aRequest.callerDeadline.value_or(
+    aRequest.received + aQuery.answerWithin + kAnswerMargin);
+  request.caller = std::move(aRequest);
+  request.route = std::move(route);
+  auto exchange = std::make_shared<FanoutExchange>(
+    aContext, std::move(request), &aQuery, std::move(aReply));
   exchange->Start();
   return exchange;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 Gateway::Gateway(Process& aProcess, ServerRegistry& aServers)
   : mProcess(aProcess)
   , mServers(aServers)
+  , mPeers(aProcess)
 {
 }
 
@@ -87,9 +88,9 @@
     request.deadline = std::min(request.deadline, *aRequest.callerDeadline);
   }
   request.caller = std::move(aRequest);
-  request.table = mTable;
-  request.route = route;
-  const ExchangeContext context{ mProcess, mServers, mLatency };
+  request.route = std::shared_ptr<const Route>(mTable, route);
+  request.version = mTable->Version();
+  const ExchangeContext context{ mProcess, mServers, mLatency, mPeers };
   if (route->IsFanout()) {
     return StartFanoutExchange(context, std::move(request), std::move(aReply));
   }
@@ -101,4 +102,20 @@
     context, std::move(request), PickGroup(*route), std::move(aReply));
 }
 
+std::shared_ptr<Exchange> Gateway::HandlePartial(CallerRequest aRequest,
+                                                 ReplyHandler aReply)
+{
+  const auto query = DecodePartialQuery(aRequest.message);
+  if (!query) {
+    mProcess.log.Write("partial_query_invalid",
+                       { { "request", aRequest.requestId } });
+    aReply(OwnReply(400, "no partial query"));
+    return nullptr;
+  }
+  StripPartialQuery(aRequest.message);
+  const ExchangeContext context{ mProcess, mServers, mLatency, mPeers };
+  return StartPartialExchange(
+    context, std::move(aRequest), *query, std::move(aReply));
+}
+
 } // namespace bronzedeal::gateway
--- /dev/null
+++ b/src/gateway/partial_query.cpp
@@ -0,0 +1,135 @@
+#include "bronzedeal/gateway/partial_query.hpp"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace bronzedeal::gateway {
+
+namespace {
+
+// Headers between instances. Ids and signatures hold none of the separators:
+// space, `=` and `|`.
+constexpr const char* kShards = "X-Bronzedeal-Shards";
+constexpr const char* kOptions = "X-Bronzedeal-Partial";
+constexpr const char* kParts = "X-Bronzedeal-Parts";
+/// Numbers in the options.
+constexpr std::size_t kOptionCount = 4;
+
+std::vector<std::string_view> Split(std::string_view aText, char aSeparator)
+{
+  std::vector<std::string_view> parts;
+  while (!aText.empty()) {
+    const auto at = aText.find(aSeparator);
+    parts.push_back(aText.substr(0, at));
+    aText =
+      at == std::string_view::npos ? std::string_view() : aText.substr(at + 1);
+  }
+  return parts;
+}
+
+std::optional<std::int64_t> Number(std::string_view aText)
+{
+  std::int64_t value = 0;
+  const auto* end = aText.data() + aText.size();
+  const auto [at, ec] = std::from_chars(aText.data(), end, value);
+  if (ec != std::errc{} || at != end || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+} // namespace
+
+std::string EncodePartialQuery(const PartialQuery& aQuery)
+{
+  std::string shards;
+  for (const auto& it : aQuery.shards) {
+    shards += shards.empty() ? "" : " ";
+    shards += it.group + '=';
+    for (std::size_t n = 0; n < it.servers.size(); ++n) {
+      shards += (n > 0 ? "|" : "") + it.servers[n];
+    }
+  }
+  return fmt::format("{}: {}\r\n{}: {} {} {} {}\r\n",
+                     kShards,
+                     shards,
+                     kOptions,
+                     aQuery.topRecords,
+                     aQuery.priority,
+                     aQuery.answerWithin.count(),
+                     aQuery.objective.count());
+}
+
+std::optional<PartialQuery> DecodePartialQuery(const RequestMessage& aRequest)
+{
+  const std::string_view options(aRequest[kOptions]);
+  std::vector<std::int64_t> numbers;
+  for (const auto it : Split(options, ' ')) {
+    const auto number = Number(it);
+    if (!number) {
+      return std::nullopt;
+    }
+    numbers.push_back(*number);
+  }
+  if (numbers.size() != kOptionCount) {
+    return std::nullopt;
+  }
+  PartialQuery query;
+  query.topRecords = static_cast<std::size_t>(numbers[0]);
+  query.priority = static_cast<unsigned>(numbers[1]);
+  query.answerWithin = milliseconds(numbers[2]);
+  query.objective = milliseconds(numbers[3]);
+  for (const auto it : Split(aRequest[kShards], ' ')) {
+    const auto fields = Split(it, '=');
+    if (fields.size() != 2) {
+      return std::nullopt;
+    }
+    PartialShard shard;
+    shard.group = std::string(fields[0]);
+    for (const auto id : Split(fields[1], '|')) {
+      shard.servers.emplace_back(id);
+    }
+    query.shards.push_back(std::move(shard));
+  }
+  if (query.shards.empty()) {
+    return std::nullopt;
+  }
+  return query;
+}
+
+void StripPartialQuery(RequestMessage& aRequest)
+{
+  aRequest.erase(kShards);
+  aRequest.erase(kOptions);
+}
+
+std::string EncodePartialParts(const std::vector<PartialPart>& aParts)
+{
+  std::string text;
+  for (const auto& it : aParts) {
+    text += text.empty() ? "" : " ";
+    text += it.group + '=' + it.signature;
+  }
+  return fmt::format("{}: {}\r\n", kParts, text);
+}
+
+std::optional<std::vector<PartialPart>> DecodePartialParts(
+  const ResponseMessage& aResponse)
+{
+  if (aResponse.result_int() != 200 ||
+      aResponse.find(kParts) == aResponse.end()) {
+    return std::nullopt;
+  }
+  std::vector<PartialPart> parts;
+  for (const auto it : Split(aResponse[kParts], ' ')) {
+    const auto at = it.find('=');
+    if (at == std::string_view::npos) {
+      return std::nullopt;
+    }
+    parts.push_back(
+      { std::string(it.substr(0, at)), std::string(it.substr(at + 1)) });
+  }
+  return parts;
+}
+
+} // namespace bronzedeal::gateway
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -130,11 +130,11 @@
          !mWithdrawn.contains(aServer.Record().failureDomain);
 }
 
-std::shared_ptr<BackendServer> ServerRegistry::Choose(
-  GroupState& aGroup,
+std::vector<std::pair<double, BackendServer*>> ServerRegistry::ByCost(
+  const GroupState& aGroup,
   const RequestView& aRequest,
   const UsedServers& aAvoid,
-  TimePoint aNow)
+  TimePoint aNow) const
 {
   std::vector<std::pair<double, BackendServer*>> candidates;
   candidates.reserve(aGroup.servers.size());
@@ -151,7 +151,16 @@
     candidates.emplace_back(cost, it.get());
   }
   std::sort(candidates.begin(), candidates.end());
-  for (const auto& [cost, server] : candidates) {
+  return candidates;
+}
+
+std::shared_ptr<BackendServer> ServerRegistry::Choose(
+  GroupState& aGroup,
+  const RequestView& aRequest,
+  const UsedServers& aAvoid,
+  TimePoint aNow)
+{
+  for (const auto& [cost, server] : ByCost(aGroup, aRequest, aAvoid, aNow)) {
     if (server->TakeAllowance(aNow)) {
       return server->shared_from_this();
     }
@@ -159,6 +168,27 @@
   return nullptr;
 }
 
+std::vector<std::shared_ptr<BackendServer>> ServerRegistry::Best(
+  const GroupState& aGroup,
+  const RequestView& aRequest,
+  std::size_t aCount,
+  TimePoint aNow) const
+{
+  std::vector<std::shared_ptr<BackendServer>> best;
+  for (const auto& [cost, server] : ByCost(aGroup, aRequest, {}, aNow)) {
+    if (best.size() < aCount) {
+      best.push_back(server->shared_from_this());
+    }
+  }
+  return best;
+}
+
+std::shared_ptr<BackendServer> ServerRegistry::Find(const ServerId& aId) const
+{
+  const auto it = mById.find(aId);
+  return it == mById.end() ? nullptr : it->second;
+}
+
 bool ServerRegistry::HasUsable(const GroupState& aGroup, TimePoint aNow) const
 {
   return std::any_of(aGroup.servers.begin(),
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -292,7 +292,7 @@
         "request_end",
         { { "request", mRequest.caller.requestId },
           { "route", mRequest.route->name },
-          { "version", static_cast<std::int64_t>(mRequest.table->Version()) },
+          { "version", static_cast<std::int64_t>(mRequest.version) },
           { "status", static_cast<std::int64_t>(aReply.status) },
           { "cause", aCause },
           { "sends", static_cast<std::int64_t>(mSends) },
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -52,6 +52,8 @@
   { "bronzedeal_repeats_denied_total", "Repeats that the budget denied" },
   { "bronzedeal_sub_requests_crossing_total",
     "Attempts at servers of other failure domains" },
+  { "bronzedeal_partial_queries_total",
+    "Parts of queries sent to other instances" },
   { "bronzedeal_server_connections_total", "Connections opened to servers" },
   { "bronzedeal_server_connect_failures_total", "Connections not opened" },
   { "bronzedeal_log_lines_dropped_total", "Log lines dropped, buffer full" },
