Answer 504 when a gathering instance may have run the request; test partial queries

Cause: the test of a silent gathering instance: with one server per shard the query waited for its end, and was then refused as not run although the instance may have sent it. Change: a shard that only a gathering instance has is sent to the same server again, and an unanswered partial query counts as run.

--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -211,7 +211,11 @@
       return aShard.running.empty() ? AgainToRan(aShard, aNow) : nullptr;
     }
     auto server = Choose(aShard, aShard.avoid, aNow);
-    if (!server && aShard.running.empty()) {
+    const bool onlyGathered =
+      std::all_of(aShard.running.begin(),
+                  aShard.running.end(),
+                  [](const auto& it) { return it.attempt == nullptr; });
+    if (!server && onlyGathered) {
       aShard.avoid.clear();
       server = Choose(aShard, {}, aNow);
     }
@@ -641,7 +645,12 @@
   void FinishShort(std::string_view aCause)
   {
     Process().metrics.Add(process::Counter::QueriesFailed);
+    const bool gathered =
+      std::any_of(mBatches.begin(), mBatches.end(), [](const auto& it) {
+        return it.second.attempt && it.second.attempt->sent;
+      });
     const bool ran =
+      gathered ||
       std::any_of(mShards.begin(), mShards.end(), [](const auto& it) {
         return it.done || !it.ran.empty() || it.arrived ||
                std::any_of(
