Notice the store's return soon after a cut

Ruled out: the compaction of the store at 7 s (the servers' watch was back at 13.8 s and listed again). Test: MetadataFollower.WatchesBrieflyUntilTheServiceIsBack (failed before).

--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -18,6 +18,9 @@
 /// connection that has fallen silent is noticed by its keep-alive probes.
 constexpr auto kOperatorWait = milliseconds(25'000);
 constexpr auto kServerWait = milliseconds(1500);
+/// The first watches after a failure are short, so that the service's return
+/// is noticed soon.
+constexpr auto kProbeWait = milliseconds(200);
 /// An answer holds a limited number of changes; from this number on, more are
 /// taken to wait, and the next watch follows at once.
 constexpr std::size_t kFullReply = 250;
@@ -156,7 +159,9 @@
 void MetadataFollower::Watch()
 {
   mProcess.metrics.Add(process::Counter::PlatformReads);
-  const auto wait = mTopic == Topic::Servers ? kServerWait : kOperatorWait;
+  const auto wait = mAway                      ? kProbeWait
+                    : mTopic == Topic::Servers ? kServerWait
+                                               : kOperatorWait;
   mSource.Watch(mTopic,
                 mRevision,
                 wait,
--- a/tests/gateway/follower_test.cpp
+++ b/tests/gateway/follower_test.cpp
@@ -25,16 +25,18 @@
 
   void Watch(Topic,
              std::uint64_t aRevision,
-             milliseconds,
+             milliseconds aWait,
              Duration,
              Handler aHandler) override
   {
     calls.push_back("watch " + std::to_string(aRevision));
+    waits.push_back(aWait);
     Answer(std::move(aHandler));
   }
 
   std::deque<MetadataReply> replies;
   std::vector<std::string> calls;
+  std::vector<milliseconds> waits;
 
 private:
   void Answer(Handler aHandler)
@@ -157,6 +159,25 @@
   EXPECT_EQ(world.servers.size(), 0U);
 }
 
+// Guards against a return of the service that is noticed only at the end of a
+// long watch (CONFIG on gaonsan-hide, scale-2).
+TEST(MetadataFollower, WatchesBrieflyUntilTheServiceIsBack)
+{
+  Following world;
+  world.source.replies = { Reply(1), MetadataReply{}, Reply(2) };
+  MetadataFollower operators(world.process,
+                             world.gateway,
+                             world.servers,
+                             world.source,
+                             Topic::Operators);
+  operators.Start();
+  world.RunUntil([&] { return world.source.waits.size() >= 3; });
+  ASSERT_EQ(world.source.waits.size(), 3U);
+  EXPECT_LT(world.source.waits[1], std::chrono::seconds(1));
+  EXPECT_GT(world.source.waits[0], std::chrono::seconds(10));
+  EXPECT_GT(world.source.waits[2], std::chrono::seconds(10));
+}
+
 // Guards against the loss of servers whose entries lapsed while the service
 // was away, and against keeping those that don't come back.
 TEST(MetadataFollower, GivesLapsedEntriesTimeToComeBack)
