Test the adapter's decoding of settings, entries and the store's answers

Change: eleven tests on bytes: bounds, all errors in one pass, a refused reload, entries of another writer, a configuration with one bad route, refusals of the store that must not read as an empty list.

--- /dev/null
+++ b/tests/platform/adapter_test.cpp
@@ -0,0 +1,264 @@
+#include "../../platform/adapter.hpp"
+#include "../../platform/entries.hpp"
+#include "../../platform/node_settings.hpp"
+#include "../../platform/store_client.hpp"
+
+#include <absl/strings/escaping.h>
+#include <boost/json/parse.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+
+namespace bronzedeal::platform {
+
+namespace {
+
+using namespace gateway; // NOLINT: the types under test
+
+constexpr const char* kSettings = R"({
+  "node": "front-a-1", "ip": "10.1.0.9", "zone": "a", "region": "r",
+  "bind-addresses": {"front": "10.1.0.9:8104", "ready": "10.1.0.9:8108",
+                     "control": "10.1.0.9:8106",
+                     "directory": "10.1.0.9:8100"},
+  "internal-port-range": [7380, 7395],
+  "seeds": ["10.2.0.21:8106"],
+  "limits": {"cpu-share": 0.25, "cores": 2, "max-fds": 4100},
+  "bounds": {"drain-ms": 5000, "grace-s": 6, "retry-budget-ratio": 0.3,
+             "retry-window-s": 10, "retry-slack": 52, "warmup-overshoot": 2,
+             "warmup-slack": 7, "ttl_max_s": 1},
+  "platform": {"address": "10.200.1.7:8102"},
+  "something-new": {"x": 1}
+})";
+
+std::string Base64(const std::string& aText)
+{
+  std::string out;
+  absl::Base64Escape(aText, &out);
+  return out;
+}
+
+/// The error of a text that must not decode.
+Error ErrorOf(const std::string& aText)
+{
+  return boost::leaf::try_handle_all(
+    [&]() -> Result<Error> {
+      BOOST_LEAF_CHECK(DecodeSettings(aText));
+      return Error{};
+    },
+    [](const Error& aError) { return aError; },
+    [] { return Error{}; });
+}
+
+const ServerRecord* ServerOf(const Change& aChange)
+{
+  const auto* changed = std::get_if<ServerChanged>(&aChange);
+  return changed != nullptr ? &changed->record : nullptr;
+}
+
+const std::string kServer =
+  R"({"service":"g","address":"10.128.0.9:8080","zone":"a","version":"v1",)"
+  R"("slots":2,"state":"draining","warmup-left-ms":250,"sequence":4,)"
+  R"("born":1700000000000})";
+
+} // namespace
+
+// Guards against bounds of the platform that the product doesn't keep.
+TEST(NodeSettings, DecodesTheBounds)
+{
+  boost::leaf::try_handle_all(
+    []() -> Result<void> {
+      BOOST_LEAF_AUTO(settings, DecodeSettings(kSettings));
+      EXPECT_EQ(settings.instance, "front-a-1");
+      EXPECT_EQ(settings.callers.port(), 8104);
+      EXPECT_EQ(settings.gossip.port(), 7380);
+      EXPECT_EQ(settings.seeds.size(), 1U);
+      EXPECT_DOUBLE_EQ(settings.cores, 0.5);
+      EXPECT_DOUBLE_EQ(settings.repeats.ratio, 0.3);
+      EXPECT_DOUBLE_EQ(settings.cold.slack, 7);
+      EXPECT_EQ(settings.drainBound, milliseconds(5000));
+      EXPECT_EQ(settings.addressTtl, milliseconds(1000));
+      EXPECT_EQ(settings.headers.requestId, "Request-Id");
+      return {};
+    },
+    [](const Error& aError) { FAIL() << aError.message; },
+    [] { FAIL(); });
+}
+
+// Guards against settings that are half applied, and against an error a start.
+TEST(NodeSettings, ReportsEveryErrorInOnePass)
+{
+  EXPECT_EQ(ErrorOf("{").code, ResultCode::InvalidJson);
+  std::string text = kSettings;
+  text.replace(text.find("front-a-1"), 9, "");
+  text.replace(text.find("10.1.0.9:8104"), 13, "somewhere");
+  const auto error = ErrorOf(text);
+  ASSERT_EQ(error.fields.size(), 2U);
+  EXPECT_EQ(error.fields[0].pointer, "/node");
+  EXPECT_EQ(error.fields[1].pointer, "/bind-addresses/front");
+}
+
+// Guards against a reload that replaces good settings by bad ones.
+TEST(Adapter, ReportsChangedSettingsOnceAndRefusesBadOnes)
+{
+  const auto path = testing::TempDir() + "bronzedeal-settings.json";
+  std::ofstream(path) << kSettings;
+  Adapter adapter(path);
+  EXPECT_TRUE(adapter.LoadSettings());
+  EXPECT_FALSE(adapter.ReloadSettings().settings);
+  std::ofstream(path) << kSettings << " ";
+  EXPECT_TRUE(adapter.ReloadSettings().settings);
+  std::ofstream(path) << "{\"node\":";
+  const auto bad = adapter.ReloadSettings();
+  EXPECT_FALSE(bad.settings);
+  EXPECT_FALSE(bad.error.empty());
+  EXPECT_TRUE(adapter.ReloadSettings().error.empty());
+  std::remove(path.c_str());
+}
+
+// Guards against calls of the platform and of callers that aren't recognised.
+TEST(Adapter, SpeaksTheAddressCall)
+{
+  const Adapter adapter("");
+  EXPECT_TRUE(adapter.IsReadinessCall("/api/readiness"));
+  EXPECT_TRUE(adapter.IsAddressCall("/api/resolution?name=h&zone=a"));
+  EXPECT_FALSE(adapter.IsAddressCall("/api/resolutions"));
+  const auto reply =
+    adapter.EncodeAddresses({ "10.1.0.9:8104" }, milliseconds(1500));
+  const auto body = boost::json::parse(reply.body).as_object();
+  EXPECT_EQ(body.at("addrs").as_array().size(), 1U);
+  EXPECT_DOUBLE_EQ(body.at("ttl_s").as_double(), 1.5);
+}
+
+// Guards against a server's state, start or cold time being misread.
+TEST(Entries, DecodesAServer)
+{
+  const auto change = DecodeEntry("servers/i-1", kServer);
+  const auto* record = ServerOf(change);
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->id, "i-1");
+  EXPECT_EQ(record->group, "g");
+  EXPECT_TRUE(record->draining);
+  EXPECT_EQ(record->coldLeft, milliseconds(250));
+  EXPECT_EQ(record->startedAtMs, 1'700'000'000'000U);
+}
+
+// Guards against entries of another writer that name a server or end the
+// process.
+TEST(Entries, RefusesEntriesOfAnotherWriter)
+{
+  const auto with = [](const std::string& aFrom, const std::string& aTo) {
+    auto text = kServer;
+    text.replace(text.find(aFrom), aFrom.size(), aTo);
+    return text;
+  };
+  for (const auto& it : { std::string("\xff\x00", 2),
+                          std::string("[]"),
+                          std::string("{}"),
+                          with("\"draining\"", "\"tired\""),
+                          with("\"draining\"", "7"),
+                          with("10.128.0.9:8080", "10.128.0.9"),
+                          with("10.128.0.9:8080", "10.128.0.9:0"),
+                          with("\"slots\":2", "\"slots\":\"2\""),
+                          with("\"sequence\":4", "\"sequence\":[]"),
+                          with("\"born\":1700000000000", "\"born\":\"x\"") }) {
+    const auto change = DecodeEntry("servers/i-1", it);
+    const auto* invalid = std::get_if<InvalidEntry>(&change);
+    ASSERT_NE(invalid, nullptr) << it;
+    EXPECT_EQ(invalid->server, "i-1");
+  }
+}
+
+// Guards against routes whose targets or limits are misread.
+TEST(Entries, DecodesAConfiguration)
+{
+  const auto change = DecodeEntry("op/config", R"({"version":7,"routes":[
+    {"name":"r1","host":"h","prefix":"/a/","route-type":"safe",
+     "timeout-ms":1000,"target-latency-ms":60,"priority":2,
+     "fanout-services":["s1","s2"],"max-attempts":2,"top-k":5,
+     "min-success-share":0.75},
+    {"name":"r2","host":"h","prefix":"/b/","route-type":"unsafe",
+     "timeout-ms":8000,"weighted-targets":[{"service":"s1","weight":3},
+     {"service":"s2","weight":1}]},
+    {"name":"r3","host":"h","prefix":"/c/","route-type":"safe",
+     "timeout-ms":8000,"service":"s1"}],
+    "services":[{"name":"s1","max-connections":25,"warmup-per-s":0.5}],
+    "limits":{"max-header-bytes":100,"idle-timeout-ms":9000}})");
+  const auto* published = std::get_if<ConfigPublished>(&change);
+  ASSERT_NE(published, nullptr);
+  const auto& config = published->config;
+  EXPECT_EQ(config.version, 7U);
+  ASSERT_EQ(config.routes.size(), 3U);
+  EXPECT_EQ(config.routes[0].shards.size(), 2U);
+  EXPECT_EQ(config.routes[0].topRecords, 5U);
+  EXPECT_DOUBLE_EQ(config.routes[0].minCoverage, 0.75);
+  EXPECT_EQ(config.routes[1].repeatability, Repeatability::AtMostOnce);
+  EXPECT_DOUBLE_EQ(config.routes[1].targets[0].weight, 3);
+  EXPECT_EQ(config.routes[2].targets[0].group, "s1");
+  EXPECT_EQ(config.groups[0].maxConnections, 25U);
+  EXPECT_EQ(config.limits.headerBytes, 100U);
+  EXPECT_EQ(config.limits.idleTimeout, milliseconds(9000));
+}
+
+// Guards against a configuration that is half applied.
+TEST(Entries, RefusesAConfigurationWithOneBadRoute)
+{
+  const auto change = DecodeEntry(
+    "op/config",
+    R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/",)"
+    R"("route-type":"safe","timeout-ms":"soon","service":"s"}]})");
+  EXPECT_NE(std::get_if<InvalidEntry>(&change), nullptr);
+}
+
+// Guards against a zone that stays out, or isn't taken out.
+TEST(Entries, DecodesWithdrawals)
+{
+  const auto set = DecodeEntry("op/evacuate/zone-a", "{}");
+  ASSERT_NE(std::get_if<DomainWithdrawn>(&set), nullptr);
+  EXPECT_TRUE(std::get<DomainWithdrawn>(set).withdrawn);
+  const auto lifted = DecodeDeletion("op/evacuate/zone-a");
+  EXPECT_EQ(std::get<DomainWithdrawn>(lifted).domain, "zone-a");
+  EXPECT_FALSE(std::get<DomainWithdrawn>(lifted).withdrawn);
+}
+
+// Guards against pages or events of the store that are lost.
+TEST(StoreClient, DecodesListsAndWatches)
+{
+  const auto list = DecodeReply(
+    200,
+    R"({"items":[{"key":"servers/i-1","value":")" + Base64(kServer) +
+      R"(","revision":5,"created":5,"lease":0}],"has-more":true,)"
+      R"("store-revision":9})");
+  EXPECT_EQ(list.status, MetadataStatus::Ok);
+  EXPECT_EQ(list.revision, 9U);
+  EXPECT_EQ(list.nextPage, "servers/i-1");
+  ASSERT_EQ(list.changes.size(), 1U);
+  EXPECT_NE(ServerOf(list.changes[0].change), nullptr);
+  const auto watch =
+    DecodeReply(200,
+                R"({"events":[{"key":"servers/i-2","revision":10,)"
+                R"("deleted":true}],"store-revision":10})");
+  ASSERT_EQ(watch.changes.size(), 1U);
+  EXPECT_NE(std::get_if<ServerGone>(&watch.changes[0].change), nullptr);
+  EXPECT_TRUE(watch.nextPage.empty());
+}
+
+// Guards against refusals and nonsense of the store being taken for an empty
+// list.
+TEST(StoreClient, TellsRefusalsFromAnswers)
+{
+  EXPECT_EQ(DecodeReply(410, "").status, MetadataStatus::HistoryGone);
+  for (const unsigned status : { 429U, 503U, 500U }) {
+    EXPECT_EQ(DecodeReply(status, "{}").status, MetadataStatus::Unavailable);
+  }
+  for (const auto* body : { "",
+                            "{}",
+                            "[]",
+                            R"({"items":[{}]})",
+                            R"({"items":7,"store-revision":1})" }) {
+    EXPECT_EQ(DecodeReply(200, body).status, MetadataStatus::Unavailable)
+      << body;
+  }
+}
+
+} // namespace bronzedeal::platform
