Test whole gateway processes on a stand-in of the platform

Change: a stand-in of store, servers, callers and harmful proxies in tests/platform, a check of the promises that reads only the history, and ten tests of processes.

--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,563 @@
+"""Small stand-ins of the users' platform for tests of whole processes.
+
+A store that the gateways read, backend servers that register in it, callers,
+and a TCP proxy that harms connections. All on loopback addresses; everything
+that callers and servers see goes into one history.
+"""
+
+import base64
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import socketserver
+import struct
+import subprocess
+import threading
+import time
+import urllib.parse
+
+BUILD = pathlib.Path(os.environ.get("BRONZEDEAL_BUILD", "build")).resolve()
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+
+
+class History:
+    """What callers and servers have seen, in order of time."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.events = []
+
+    def add(self, kind, **fields):
+        with self.lock:
+            self.events.append({"kind": kind, "at": time.monotonic(), **fields})
+
+    def of(self, kind):
+        with self.lock:
+            return [it for it in self.events if it["kind"] == kind]
+
+
+class QuietHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args):
+        pass
+
+    def reply(self, status, headers, body):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Listener(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request, client_address):
+        pass  # broken connections are what the tests bring about
+
+
+class Store:
+    """The metadata store: items, watches, and the ways in which it fails."""
+
+    MAX_EVENTS = 500
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.items = {}
+        self.log = []
+        self.revision = 1
+        self.history_from = 0
+        self.mode = "ok"
+        store = self
+
+        class Handler(QuietHandler):
+            def do_GET(self):
+                store.handle(self)
+
+        self.listener = Listener(("127.0.0.1", 0), Handler)
+        self.address = "127.0.0.1:%d" % self.listener.server_address[1]
+        threading.Thread(target=self.listener.serve_forever,
+                         kwargs={"poll_interval": 0.05}, daemon=True).start()
+
+    def put(self, key, value):
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.revision += 1
+            item = {"key": key, "value": base64.b64encode(data).decode(),
+                    "revision": self.revision, "lease": 0,
+                    "created": self.items.get(key, {}).get("created",
+                                                           self.revision)}
+            self.items[key] = item
+            self.log.append(item)
+            self.changed.notify_all()
+
+    def delete(self, key):
+        with self.changed:
+            if self.items.pop(key, None) is not None:
+                self.revision += 1
+                self.log.append({"key": key, "revision": self.revision,
+                                 "deleted": True})
+                self.changed.notify_all()
+
+    def compact(self):
+        with self.changed:
+            self.history_from = self.revision
+            self.log.clear()
+            self.changed.notify_all()
+
+    def handle(self, call):
+        if self.mode == "silent":
+            time.sleep(3)
+            call.close_connection = True
+            return
+        if self.mode == "reset":
+            call.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                       struct.pack("ii", 1, 0))
+            call.close_connection = True
+            return
+        if self.mode == "busy":
+            call.reply(503, {}, b"{}")
+            return
+        url = urllib.parse.urlparse(call.path)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        status, body = 404, {}
+        if url.path == "/api/kv-range":
+            status, body = self.range(query)
+        elif url.path == "/api/kv-watch":
+            status, body = self.watch(query)
+        call.reply(status, {"Content-Type": "application/json"},
+                   json.dumps(body).encode())
+
+    def range(self, query):
+        with self.changed:
+            keys = sorted(it for it in self.items
+                          if it.startswith(query["prefix"])
+                          and it > query.get("after", ""))
+            page = keys[:50]
+            return 200, {"items": [self.items[it] for it in page],
+                         "has-more": len(keys) > len(page),
+                         "store-revision": self.revision}
+
+    def watch(self, query):
+        after, end = int(query["after"]), time.monotonic() + int(
+            query["wait-ms"]) / 1000
+        with self.changed:
+            while True:
+                if after < self.history_from:
+                    return 410, {}
+                events = [it for it in self.log if it["revision"] > after
+                          and it["key"].startswith(query["prefix"])]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    events = events[:self.MAX_EVENTS]
+                    full = len(events) == self.MAX_EVENTS
+                    return 200, {"events": events, "store-revision":
+                                 events[-1]["revision"] if full
+                                 else self.revision}
+                self.changed.wait(left)
+
+    def close(self):
+        self.listener.shutdown()
+        self.listener.server_close()
+
+
+class Server:
+    """A backend server: runs requests, registers and leaves."""
+
+    def __init__(self, store, history, ident, group, zone):
+        self.store, self.history = store, history
+        self.id, self.group, self.zone = ident, group, zone
+        self.work_s = 0.004
+        self.pause_until = 0.0
+        self.fail_share = 0.0
+        self.lose_share = 0.0
+        self.sequence = 0
+        self.state = "ready"
+        self.listener = None
+        self.port = 0
+        self.proxy = None
+        self.random = random.Random(ident)
+        self.start()
+
+    def start(self):
+        server = self
+
+        class Handler(QuietHandler):
+            def do_GET(self):
+                server.run(self)
+
+            do_POST = do_GET
+
+        self.listener = Listener(("127.0.0.1", self.port), Handler)
+        self.port = self.listener.server_address[1]
+        self.connections = set()
+        self.listener.process_request_thread_original = None
+        threading.Thread(target=self.listener.serve_forever,
+                         kwargs={"poll_interval": 0.05}, daemon=True).start()
+
+    def address(self):
+        return self.proxy.address if self.proxy else "127.0.0.1:%d" % self.port
+
+    def register(self, state="ready"):
+        self.state = state
+        self.sequence += 1
+        if state == "draining":
+            self.history.add("draining", server=self.id)
+        self.store.put("servers/" + self.id, {
+            "service": self.group, "address": self.address(),
+            "zone": self.zone, "version": "v1", "slots": 4, "state": state,
+            "warmup-left-ms": 0, "sequence": self.sequence})
+
+    def unregister(self):
+        self.history.add("draining", server=self.id)
+        self.store.delete("servers/" + self.id)
+
+    def run(self, call):
+        length = int(call.headers.get("Content-Length") or 0)
+        sent = call.rfile.read(length) if length else b""
+        ident = call.headers.get("Request-Id", "")
+        if call.headers.get("Expected-Instance") not in (None, self.id):
+            call.reply(421, {"Instance-Id": self.id}, b"")
+            return
+        self.history.add("run", server=self.id, group=self.group, id=ident,
+                         method=call.command, path=call.path, body=sent)
+        wait = max(self.work_s, self.pause_until - time.monotonic())
+        time.sleep(min(wait, 3))
+        stamp = "%s.%s.%06x" % (self.id, ident, self.random.randrange(1 << 24))
+        if self.random.random() < self.lose_share:
+            call.close_connection = True
+            return
+        if self.random.random() < self.fail_share:
+            call.reply(500, {"Server-Stamp": stamp, "Request-Id": ident}, b"")
+            return
+        body = b"".join(self.random.randbytes(16) for _ in range(3))
+        self.history.add("part", server=self.id, group=self.group, id=ident,
+                         stamp=stamp, body=body)
+        call.reply(200, {"Server-Stamp": stamp, "Request-Id": ident}, body)
+
+    def close(self):
+        if self.listener:
+            self.listener.shutdown()
+            self.listener.server_close()
+            self.listener = None
+
+
+class Proxy:
+    """Forwards TCP connections and harms them as its mode says."""
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.mode = "pass"
+        self.delay_s = 0.0
+        self.links = set()
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "127.0.0.1:%d" % self.socket.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.socket.accept()
+            except OSError:
+                return
+            if self.mode == "silent":
+                self.links.add(near)  # accepted and never answered
+                continue
+            try:
+                far = socket.create_connection(
+                    ("127.0.0.1", self.target_port), timeout=2)
+            except OSError:
+                self.abort(near)
+                continue
+            self.links.update((near, far))
+            for source, sink, answers in ((near, far, False),
+                                          (far, near, True)):
+                threading.Thread(target=self.pump,
+                                 args=(source, sink, answers),
+                                 daemon=True).start()
+
+    def pump(self, source, sink, answers):
+        try:
+            while True:
+                data = source.recv(65536)
+                if not data:
+                    break
+                if self.mode == "silent" or (self.mode == "one-way" and answers):
+                    continue
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                sink.sendall(data)
+        except OSError:
+            pass
+        for it in (source, sink):
+            self.links.discard(it)
+            try:
+                it.close()
+            except OSError:
+                pass
+
+    @staticmethod
+    def abort(link):
+        try:
+            link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                            struct.pack("ii", 1, 0))
+            link.close()
+        except OSError:
+            pass
+
+    def reset(self):
+        for it in list(self.links):
+            self.abort(it)
+            self.links.discard(it)
+
+    def close(self):
+        self.socket.close()
+        self.reset()
+
+
+class Instance:
+    """A gateway process on its own loopback address."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.ip = "127.0.%d.%d" % (world.subnet, number + 2)
+        self.name = "gw-%d" % number
+        self.zone = world.zones[number % len(world.zones)]
+        self.settings = world.folder / (self.name + ".json")
+        self.process = None
+        self.log = open(world.folder / (self.name + ".log"), "ab")
+
+    def address(self, role):
+        return "%s:%d" % (self.ip, self.world.ports[role])
+
+    def write_settings(self, **changes):
+        self.settings.write_text(json.dumps({
+            "node": self.name, "ip": self.ip, "zone": self.zone, "region": "r",
+            "bind-addresses": {it: self.address(it) for it in
+                               ("front", "ready", "control", "directory")},
+            "internal-port-range": [self.world.ports["inner"]] * 2,
+            "seeds": ["127.0.%d.2:1" % self.world.subnet],
+            "limits": {"cpu-share": 1, "cores": 1, "max-fds": 4096},
+            "bounds": {"drain-ms": 3000, "grace-s": 6, "ttl_max_s": 1},
+            "platform": {"address": self.world.store_address}, **changes}))
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [str(BUILD / "bronzedeal-gateway"), "--config",
+             str(self.settings)], stdout=self.log, stderr=self.log)
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def ready(self):
+        return ask(self.address("ready"), "/api/readiness").status == 200
+
+    def stop(self):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status, self.headers, self.body = status, headers, body
+
+
+def ask(address, path, method="GET", headers=None, body=None, timeout=3,
+        connection=None):
+    """One call; status 0 when the connection broke or nothing came."""
+    own = connection is None
+    if own:
+        host, port = address.rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        answer = connection.getresponse()
+        return Answer(answer.status, answer.headers, answer.read())
+    except (OSError, http.client.HTTPException):
+        return Answer(0, {}, b"")
+    finally:
+        if own:
+            connection.close()
+
+
+class World:
+    """Gateways, store, servers and routes of one test."""
+
+    zones = ("a", "b", "c")
+
+    def __init__(self, folder, instances=2, shards=4, replicas=2, seed=1,
+                 proxied=False):
+        self.folder = pathlib.Path(folder)
+        self.random = random.Random(seed)
+        # Tests that run at the same time use other loopback addresses.
+        self.subnet = 2 + os.getpid() % 250
+        self.history = History()
+        self.store = Store()
+        self.store_proxy = None
+        self.store_address = self.store.address
+        if proxied:
+            self.store_proxy = Proxy(int(self.store.address.split(":")[1]))
+            self.store_address = self.store_proxy.address
+        self.ports = self.free_ports()
+        self.version = 0
+        self.shards = ["shard-%d" % n for n in range(shards)]
+        self.servers = []
+        for number, group in enumerate(self.shards + ["ledger"]):
+            for replica in range(replicas):
+                self.add_server("i-%s-%d" % (group, replica), group,
+                                self.zones[(number + replica) % 3], proxied)
+        self.publish()
+        self.instances = [Instance(self, n) for n in range(instances)]
+        for it in self.instances:
+            it.write_settings()
+            it.start()
+        self.count = 0
+
+    def free_ports(self):
+        names, ports, held = ("front", "ready", "control", "directory",
+                              "inner"), {}, []
+        for name in names:
+            probe = socket.socket()
+            probe.bind(("127.0.%d.2" % self.subnet, 0))
+            held.append(probe)
+            ports[name] = probe.getsockname()[1]
+        for it in held:
+            it.close()
+        return ports
+
+    def add_server(self, ident, group, zone, proxied=False):
+        server = Server(self.store, self.history, ident, group, zone)
+        if proxied:
+            server.proxy = Proxy(server.port)
+        server.register()
+        self.servers.append(server)
+        return server
+
+    def publish(self, shards=None, extra=0):
+        if shards:
+            self.shards = shards
+        self.version += 2
+        host = {"host": "shop.example", "timeout-ms": 2500,
+                "target-latency-ms": 300, "priority": 1, "max-attempts": 2}
+        routes = [
+            {"name": "all", "prefix": "/all/", "route-type": "safe",
+             "fanout-services": self.shards, "top-k": 5,
+             "min-success-share": 0.5, **host},
+            {"name": "read", "prefix": "/read/", "route-type": "safe",
+             "service": "ledger", **host},
+            {"name": "write", "prefix": "/write/", "route-type": "unsafe",
+             "service": "ledger", **host}]
+        routes += [{"name": "x%d" % n, "prefix": "/x%d/" % n, "route-type":
+                    "safe", "service": "ledger", **host} for n in range(extra)]
+        self.history.add("config", shards=list(self.shards))
+        self.store.put("op/config", {
+            "version": self.version, "routes": routes,
+            "services": [{"name": it, "max-connections": 30, "warmup-per-s": 1}
+                         for it in self.shards + ["ledger"]],
+            "limits": {"max-header-bytes": 8192, "max-body-bytes": 65536,
+                       "header-timeout-ms": 2000, "idle-timeout-ms": 10000}})
+
+    def wait(self, condition, seconds=15):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if condition():
+                return True
+            time.sleep(0.05)
+        return False
+
+    def call(self, kind, instance=None, connection=None, address=None):
+        """One request of a caller, into the history."""
+        with self.history.lock:
+            self.count += 1
+            ident = "r%06d" % self.count
+        instance = instance or self.instances[0]
+        path = "/%s/%s" % (kind, ident)
+        method = "POST" if kind == "write" else "GET"
+        body = ident.encode() if kind == "write" else None
+        self.history.add("sent", id=ident, path=path)
+        answer = ask(address or instance.address("front"), path, method,
+                     {"Host": "shop.example", "Request-Id": ident,
+                      "Request-Deadline": "2500"}, body, 4, connection)
+        self.history.add("answer", id=ident, request=kind,
+                         status=answer.status, body=answer.body,
+                         headers={k.lower(): v for k, v in
+                                  dict(answer.headers).items()})
+        return answer
+
+    def addresses(self, instance):
+        answer = ask(instance.address("directory"),
+                     "/api/resolution?name=shop.example&region=r&zone=a",
+                     timeout=1)
+        return json.loads(answer.body)["addrs"] if answer.status == 200 else []
+
+    def close(self):
+        for it in self.instances:
+            it.stop()
+            it.log.close()
+        for it in self.servers:
+            it.close()
+            if it.proxy:
+                it.proxy.close()
+        if self.store_proxy:
+            self.store_proxy.close()
+        self.store.close()
+
+
+def violations(history):
+    """The promises that a history breaks, as texts."""
+    found = []
+    parts = {it["stamp"]: it for it in history.of("part")}
+    sent = {it["id"]: it["path"] for it in history.of("sent")}
+    sets = [set(it["shards"]) for it in history.of("config")]
+    runs = {}
+    for it in history.of("run"):
+        runs.setdefault(it["id"], []).append(it)
+        if sent.get(it["id"]) != it["path"]:
+            found.append("%s: run with path %s" % (it["id"], it["path"]))
+    for it in history.of("answer"):
+        ident, status = it["id"], it["status"]
+        ran = len(runs.get(ident, []))
+        if it["request"] == "write" and ran > 1:
+            found.append("%s: ran %d times" % (ident, ran))
+        if it["request"] == "write" and status in PROMISES_NOT_RUN and ran:
+            found.append("%s: answered %d and ran" % (ident, status))
+        if status == 200 and it["request"] == "all":
+            found += check_merged(it, parts, sets)
+        elif status == 200:
+            part = parts.get(it["headers"].get("server-stamp"))
+            if not part or part["id"] != ident or part["body"] != it["body"]:
+                found.append("%s: not a server's answer" % ident)
+    return found
+
+
+def check_merged(answer, parts, sets):
+    ident = answer["id"]
+    stamps = [it.strip() for it in
+              answer["headers"].get("part-stamps", "").split(",")]
+    chosen = [parts.get(it) for it in stamps]
+    if not all(it and it["id"] == ident for it in chosen):
+        return ["%s: a part that no server gave for it" % ident]
+    groups = [it["group"] for it in chosen]
+    if len(set(groups)) != len(groups):
+        return ["%s: two parts of one shard" % ident]
+    missing = int(answer["headers"].get("missing-parts", "0"))
+    if not any(set(groups) <= it and len(it) == len(groups) + missing
+               for it in sets):
+        return ["%s: parts of no single version" % ident]
+    records = sorted((it["body"][at:at + 16] for it in chosen
+                      for at in range(0, len(it["body"]) - 15, 16)),
+                     reverse=True)[:5]
+    if answer["body"] != b"".join(records):
+        return ["%s: not the greatest records of its parts" % ident]
+    return []
--- /dev/null
+++ b/tests/platform/test_platform.py
@@ -0,0 +1,166 @@
+"""Whole processes on a stand-in of the users' platform."""
+
+import http.client
+import signal
+import tempfile
+import threading
+import time
+import unittest
+
+import standin
+
+
+class PlatformTest(unittest.TestCase):
+    instances = 2
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.world = standin.World(folder.name, instances=self.instances)
+        self.addCleanup(self.world.close)
+        for it in self.world.instances:
+            self.assertTrue(self.world.wait(it.ready), it.name)
+
+    def judge(self):
+        self.assertEqual([], standin.violations(self.world.history))
+
+    def test_serves_all_kinds(self):
+        """Guards against a path that doesn't serve at all."""
+        world = self.world
+        for it in world.instances:
+            for kind in ("all", "read", "write"):
+                self.assertEqual(200, world.call(kind, it).status, kind)
+        answer = world.call("all")
+        self.assertEqual("0", answer.headers["Missing-Parts"])
+        self.judge()
+
+    def test_names_both_instances(self):
+        """Guards against callers that learn of one instance only."""
+        world = self.world
+        expected = {it.address("front") for it in world.instances}
+        for it in world.instances:
+            self.assertTrue(
+                world.wait(lambda it=it: set(world.addresses(it)) == expected))
+
+    def test_unknown_route_is_404(self):
+        self.assertEqual(404, self.world.call("nothing").status)
+
+    def test_follows_configurations(self):
+        """Guards against a version that isn't put in force."""
+        world = self.world
+        self.assertEqual(404, world.call("x0").status)
+        world.publish(extra=1)
+        self.assertTrue(world.wait(lambda: world.call("x0").status == 200))
+        world.publish(shards=world.shards[:2])
+        self.assertTrue(world.wait(lambda: world.call("all").headers.get(
+            "Part-Stamps", "").count(",") == 1))
+        self.judge()
+
+    def test_leaves_out_withdrawn_zones_and_draining_servers(self):
+        """Guards against work for what operators have taken out."""
+        world = self.world
+        world.store.put("op/evacuate/a", {})
+        leaving = next(it for it in world.servers
+                       if it.group == "ledger" and it.zone != "a")
+        time.sleep(3)
+        before = len(world.history.of("run"))
+        for _ in range(10):
+            world.call("all")
+        zones = {it.id: it.zone for it in world.servers}
+        for it in world.history.of("run")[before:]:
+            self.assertNotEqual("a", zones[it["server"]])
+        world.store.delete("op/evacuate/a")
+        leaving.register("draining")
+        time.sleep(3)
+        before = len(world.history.of("run"))
+        for _ in range(10):
+            self.assertEqual(200, world.call("read").status)
+        for it in world.history.of("run")[before:]:
+            self.assertNotEqual(leaving.id, it["server"])
+        self.judge()
+
+    def test_survives_entries_of_another_writer(self):
+        """Guards against one bad entry that harms the others."""
+        world = self.world
+        for n, value in enumerate((b"\xff\xfe", b"[]", b"{}", b'{"service":7}')):
+            world.store.put("servers/forged-%d" % n, value)
+        world.store.put("op/config", b"{\"version\": \"new\"}")
+        time.sleep(1.5)
+        for kind in ("all", "read", "write"):
+            self.assertEqual(200, world.call(kind).status)
+
+    def test_serves_on_while_the_store_is_away(self):
+        """Guards against service that depends on the store's answers."""
+        world = self.world
+        for mode in ("busy", "reset"):
+            world.store.mode = mode
+            time.sleep(1)
+            self.assertEqual(200, world.call("all").status, mode)
+        world.store.mode = "ok"
+        world.store.compact()
+        world.publish(extra=2)
+        self.assertTrue(world.wait(lambda: world.call("x1").status == 200))
+
+    def test_stops_without_cutting_a_request_off(self):
+        """Guards against requests lost in a planned stop."""
+        world = self.world
+        stopped, other = world.instances
+        for it in world.servers:
+            it.work_s = 0.3
+        statuses = []
+        connection = http.client.HTTPConnection(
+            *stopped.address("front").split(":"), timeout=4)
+
+        def call():
+            statuses.append(world.call("read", stopped,
+                                       connection=connection).status)
+
+        call()
+        caller = threading.Thread(target=call)
+        caller.start()
+        time.sleep(0.1)
+        stopped.signal(signal.SIGTERM)
+        caller.join()
+        self.assertEqual([200, 200], statuses)
+        self.assertEqual(503, standin.ask(stopped.address("ready"),
+                                          "/api/readiness").status)
+        self.assertTrue(world.wait(
+            lambda: world.addresses(other) == [other.address("front")]))
+        self.assertEqual(0, stopped.process.wait(7))
+        connection.close()
+        self.judge()
+
+    def test_keeps_good_settings_on_a_bad_reload(self):
+        """Guards against a SIGHUP that ends or misconfigures the process."""
+        world = self.world
+        it = world.instances[0]
+        it.settings.write_text("{")
+        it.signal(signal.SIGHUP)
+        time.sleep(0.5)
+        self.assertEqual(200, world.call("all", it).status)
+        it.write_settings(bounds={"grace-s": 4})
+        it.signal(signal.SIGHUP)
+        time.sleep(0.5)
+        self.assertEqual(200, world.call("all", it).status)
+        text = (world.folder / (it.name + ".log")).read_text()
+        self.assertIn("settings_refused", text)
+        self.assertIn("settings_reloaded", text)
+
+    def test_is_not_ready_without_a_configuration(self):
+        """Guards against a 404 or a false promise from an empty instance."""
+        world = self.world
+        world.store.mode = "busy"
+        it = world.instances[0]
+        it.stop()
+        it.start()
+        self.assertTrue(world.wait(lambda: standin.ask(
+            it.address("ready"), "/api/readiness").status == 503))
+        answer = world.call("read", it)
+        self.assertEqual(503, answer.status)
+        self.assertIn("Retry-After", answer.headers)
+        world.store.mode = "ok"
+        self.assertTrue(world.wait(it.ready))
+
+
+if __name__ == "__main__":
+    unittest.main()
