--- a/tests/ctl/ctl_test.cpp
+++ b/tests/ctl/ctl_test.cpp
@@ -1,6 +1,7 @@
 #include "../../tools/ctl/ctl.hpp"
 
 #include "../../tools/ctl/render.hpp"
+#include "../../tools/ctl/request_log.hpp"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -134,6 +135,25 @@
 }
 
 // Guards against a check that differs from the daemon's.
+// Guards against lines of other requests, and of several instances out of
+// order, in the explanation of one.
+TEST(Ctl, ExplainsARequestFromLogs)
+{
+  std::istringstream logs(
+    "12.0 gw-b {\"time_ms\":1020,\"event\":\"request_end\",\"instance\":"
+    "\"gw-b\",\"request\":\"r1\",\"status\":504}\n"
+    "not a line of a log\n"
+    "{\"time_ms\":1000,\"event\":\"attempt_failed\",\"instance\":\"gw-a\","
+    "\"request\":\"r1\",\"fault\":\"broken\"}\n"
+    "{\"time_ms\":1001,\"event\":\"attempt_failed\",\"instance\":\"gw-a\","
+    "\"request\":\"r2\",\"fault\":\"refused\"}\n{\"broken\n");
+  std::ostringstream out;
+  EXPECT_EQ(PrintRequestLog(logs, "r1", out), 2U);
+  EXPECT_EQ(out.str(),
+            "      0 ms  gw-a  attempt_failed  fault=\"broken\"\n"
+            "     20 ms  gw-b  request_end  status=504\n");
+}
+
 TEST(Ctl, ValidatesADocument)
 {
   const auto valid = Ctl({ "validate", kExample, "--json" });
--- a/tools/ctl/ctl.cpp
+++ b/tools/ctl/ctl.cpp
@@ -4,6 +4,7 @@
 #include "http_client.hpp"
 #include "options.hpp"
 #include "render.hpp"
+#include "request_log.hpp"
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
@@ -79,6 +80,9 @@
     if (mOptions.command == "explain") {
       return Explain();
     }
+    if (mOptions.command == "explain-request") {
+      return ExplainRequest();
+    }
     if (mOptions.command == "withdrawal") {
       return Withdrawal();
     }
@@ -324,6 +328,26 @@
     return aComplete ? kExitOk : kExitNotComplete;
   }
 
+  int ExplainRequest()
+  {
+    std::ifstream file;
+    if (mOptions.file != "-") {
+      file.open(mOptions.file, std::ios::binary);
+      if (!file) {
+        return Fail(ErrorToJson(
+          { ResultCode::IoError, mOptions.file + " can't be read", {} }));
+      }
+    }
+    const auto found = PrintRequestLog(
+      mOptions.file == "-" ? std::cin : file, mOptions.requestId, mOut);
+    if (found == 0) {
+      mErr << "no line of the logs names the request; requests that were "
+              "answered in time, whole and at the first try have none\n";
+      return kExitFailed;
+    }
+    return kExitOk;
+  }
+
   int Audit()
   {
     std::vector<json::value> trails;
--- a/tools/ctl/options.cpp
+++ b/tools/ctl/options.cpp
@@ -22,7 +22,7 @@
   std::string_view summary;
 };
 
-constexpr std::array<CommandInfo, 5> kCommands{ {
+constexpr std::array<CommandInfo, 6> kCommands{ {
   { "status", "", "State of each instance." },
   { "validate",
     "FILE",
@@ -34,6 +34,10 @@
     "",
     "Whether all traffic under versions below --version has ended. Exit code "
     "0: complete, 3: not complete." },
+  { "explain-request",
+    "ID",
+    "What gateways decided about a request, from their logs on standard input "
+    "or in --file. Exit code 1: no line names it." },
   { "audit", "", "Audit trails, merged by configuration version and time." },
 } };
 
@@ -51,7 +55,7 @@
   aOut << "usage: bronzedealctl COMMAND [OPTIONS]\n"
           "       bronzedealctl COMMAND --help | --help | --version\n\n";
   for (const auto& it : kCommands) {
-    aOut << fmt::format("  {:<11} {}\n", it.name, it.summary);
+    aOut << fmt::format("  {:<15} {}\n", it.name, it.summary);
   }
 }
 
@@ -154,6 +158,10 @@
   cmd.setExceptionHandling(false);
   TCLAP::UnlabeledValueArg<std::string> document(
     "FILE", "The document; - reads standard input.", true, "", "FILE");
+  TCLAP::UnlabeledValueArg<std::string> requestId(
+    "ID", "The request's id.", true, "", "ID");
+  TCLAP::ValueArg<std::string> logs(
+    "f", "file", "The logs, in place of standard input.", false, "-", "LOGS");
   TCLAP::MultiArg<std::string> instances(
     "i", "instance", "Admin address of an instance.", false, "HOST:PORT");
   TCLAP::SwitchArg all(
@@ -190,6 +198,9 @@
   };
   if (is("validate")) {
     cmd.add(document);
+  } else if (is("explain-request")) {
+    cmd.add(requestId);
+    cmd.add(logs);
   } else {
     cmd.add(instances);
     cmd.add(timeout.Arg());
@@ -210,7 +221,9 @@
   if (is("audit")) {
     cmd.add(after.Arg());
   }
-  cmd.add(json);
+  if (!is("explain-request")) {
+    cmd.add(json);
+  }
   cmd.add(help);
 
   for (const auto* it : { "--help", "-h" }) {
@@ -230,7 +243,10 @@
   aOptions.all = all.getValue();
   aOptions.json = json.getValue();
   aOptions.timeout = milliseconds(timeout.Value());
-  aOptions.file = is("validate") ? document.getValue() : file.getValue();
+  aOptions.file = is("validate")          ? document.getValue()
+                  : is("explain-request") ? logs.getValue()
+                                          : file.getValue();
+  aOptions.requestId = requestId.getValue();
   aOptions.version = static_cast<ConfigVersion>(version.Value());
   aOptions.wait = wait.getValue();
   aOptions.waitTimeout = milliseconds(waitTimeout.Value());
@@ -244,7 +260,8 @@
     if (aOptions.instances.empty() == aOptions.file.empty()) {
       fail("either --instance or --file is needed");
     }
-  } else if (!is("validate") && aOptions.instances.empty()) {
+  } else if (!is("validate") && !is("explain-request") &&
+             aOptions.instances.empty()) {
     fail("--instance is needed");
   }
   if (is("withdrawal") && !version.IsSet()) {
--- a/tools/ctl/options.hpp
+++ b/tools/ctl/options.hpp
@@ -21,6 +21,8 @@
   std::string file;
   Labels caller;
   Labels request;
+  /// Id of a caller's request in the logs.
+  std::string requestId;
   ConfigVersion version = 0;
   bool wait = false;
   /// Zero: no limit.
