Pace the operators' watches; larger gossip digests in the own domain

Cause: config_storm on 61 instances brought a store call per change and instance; idle instances saw 30 to 58 of 61 peers alive, which moved the set of serving instances and the divisor of all limits. Change: operators' watches are paced like the servers'; digests to peers of the own domain hold 40 states.

--- a/include/bronzedeal/gateway/metadata_follower.hpp
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -52,7 +52,7 @@
   void OnContact();
   void After(Duration aDelay, void (MetadataFollower::*aStep)());
   [[nodiscard]] std::string_view TopicName() const noexcept;
-  [[nodiscard]] Duration ServerPace() const;
+  [[nodiscard]] Duration Pace() const;
 
   Process& mProcess;
   Gateway& mGateway;
--- a/include/bronzedeal/gateway/peer_gossip.hpp
+++ b/include/bronzedeal/gateway/peer_gossip.hpp
@@ -26,6 +26,9 @@
 private:
   void Round();
   void SendTo(std::size_t aNear, std::size_t aFar, TimePoint aNow);
+  void Send(const std::vector<boost::asio::ip::address>& aTargets,
+            bool aFar,
+            TimePoint aNow);
   void Receive();
   void OnDatagram(std::size_t aSize);
 
--- a/include/bronzedeal/gateway/peer_table.hpp
+++ b/include/bronzedeal/gateway/peer_table.hpp
@@ -47,8 +47,10 @@
     Duration silence = milliseconds(2000);
     /// The same for the others, which aren't in each datagram.
     Duration idleSilence = milliseconds(6000);
-    /// Members in one datagram, the serving ones first.
-    std::size_t digestSize = 16;
+    /// Members in one datagram to another failure domain, the serving ones
+    /// first, and to a peer of the own, where bytes cost little.
+    std::size_t farDigestSize = 16;
+    std::size_t nearDigestSize = 40;
   };
 
   PeerTable(PeerState aSelf, const Options& aOptions);
@@ -59,7 +61,8 @@
 
   /// The content of the next datagram: this instance with a new heartbeat, and
   /// a random part of the living others.
-  [[nodiscard]] std::vector<PeerState> Digest(TimePoint aNow,
+  [[nodiscard]] std::vector<PeerState> Digest(bool aFar,
+                                              TimePoint aNow,
                                               std::minstd_rand& aRandom);
 
   /// Takes the content of a datagram.
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -14,6 +14,10 @@
 constexpr double kServerPace = 0.25;
 /// The same for an instance that callers aren't sent to.
 constexpr double kIdleServerPace = 0.6;
+/// The same for the operators' entries: changes in quick succession are taken
+/// together.
+constexpr double kOperatorPace = 0.1;
+constexpr double kIdleOperatorPace = 0.3;
 /// A watch of the operators' entries answers as soon as there is a change. A
 /// connection that has fallen silent is noticed by its keep-alive probes.
 constexpr auto kOperatorWait = milliseconds(25'000);
@@ -57,9 +61,12 @@
   return mTopic == Topic::Servers ? "servers" : "operators";
 }
 
-Duration MetadataFollower::ServerPace() const
+Duration MetadataFollower::Pace() const
 {
-  const double part = mProcess.shares.Serving() ? kServerPace : kIdleServerPace;
+  const bool serving = mProcess.shares.Serving();
+  const double part = mTopic == Topic::Servers
+                        ? (serving ? kServerPace : kIdleServerPace)
+                        : (serving ? kOperatorPace : kIdleOperatorPace);
   return std::chrono::duration_cast<Duration>(part *
                                               mProcess.settings.drainBound);
 }
@@ -204,10 +211,10 @@
         { "changes", static_cast<std::int64_t>(aReply.changes.size()) },
         { "revision", static_cast<std::int64_t>(mRevision) } });
   }
-  if (mTopic == Topic::Servers && !behind) {
-    After(ServerPace(), &MetadataFollower::Watch);
-  } else {
+  if (behind) {
     Watch();
+  } else {
+    After(Pace(), &MetadataFollower::Watch);
   }
 }
 
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -70,17 +70,25 @@
 
 void PeerGossip::SendTo(std::size_t aNear, std::size_t aFar, TimePoint aNow)
 {
-  auto targets = mProcess.peers.Targets(aNear, aFar, aNow, mRandom);
-  const auto seed =
-    mProcess.peers.LostSeed(mProcess.settings.seeds, aNow, mRandom);
+  auto& peers = mProcess.peers;
+  Send(peers.Targets(aNear, 0, aNow, mRandom), false, aNow);
+  auto far = peers.Targets(0, aFar, aNow, mRandom);
+  const auto seed = peers.LostSeed(mProcess.settings.seeds, aNow, mRandom);
   if (seed) {
-    targets.push_back(*seed);
+    far.push_back(*seed);
   }
-  if (targets.empty()) {
+  Send(far, true, aNow);
+}
+
+void PeerGossip::Send(const std::vector<boost::asio::ip::address>& aTargets,
+                      bool aFar,
+                      TimePoint aNow)
+{
+  if (aTargets.empty()) {
     return;
   }
-  const auto text = EncodePeers(mProcess.peers.Digest(aNow, mRandom));
-  for (const auto& it : targets) {
+  const auto text = EncodePeers(mProcess.peers.Digest(aFar, aNow, mRandom));
+  for (const auto& it : aTargets) {
     error_code ec;
     // A datagram that isn't sent is as good as a lost one.
     mSocket.send_to(boost::asio::buffer(text),
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -37,7 +37,8 @@
          (aEntry.state.serving ? mOptions.silence : mOptions.idleSilence);
 }
 
-std::vector<PeerState> PeerTable::Digest(TimePoint aNow,
+std::vector<PeerState> PeerTable::Digest(bool aFar,
+                                         TimePoint aNow,
                                          std::minstd_rand& aRandom)
 {
   ++mSelf.heartbeat;
@@ -50,8 +51,9 @@
   std::shuffle(states.begin(), states.end(), aRandom);
   std::stable_partition(
     states.begin(), states.end(), [](const auto& it) { return it.serving; });
-  if (states.size() >= mOptions.digestSize) {
-    states.resize(mOptions.digestSize - 1);
+  const auto size = aFar ? mOptions.farDigestSize : mOptions.nearDigestSize;
+  if (states.size() >= size) {
+    states.resize(size - 1);
   }
   states.insert(states.begin(), mSelf);
   return states;
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -231,7 +231,7 @@
   for (int round = 0; round < kRounds; ++round) {
     for (auto& it : tables) {
       const auto now = At(300 * round);
-      const auto digest = it.Digest(now, random);
+      const auto digest = it.Digest(true, now, random);
       auto targets = it.Targets(1, 1, now, random);
       if (const auto seed = it.LostSeed({ Ip(0) }, now, random)) {
         targets.push_back(*seed);
