--- a/src/gateway/address_picker.cpp
+++ b/src/gateway/address_picker.cpp
@@ -33,9 +33,9 @@
 {
   const bool anyReady = std::any_of(aCandidates.begin(),
                                     aCandidates.end(),
-                                    [](const auto& it) { return it.ready; });
+                                    [](const auto& aIt) { return aIt.ready; });
   if (anyReady) {
-    std::erase_if(aCandidates, [](const auto& it) { return !it.ready; });
+    std::erase_if(aCandidates, [](const auto& aIt) { return !aIt.ready; });
   }
   double total = 0;
   double strongest = 0;
@@ -45,11 +45,11 @@
     strongest = std::max(strongest, it.cores);
     nearest = std::max(nearest, it.locality);
   }
-  const auto near = [&](const AddressCandidate& it) {
-    return it.locality >= kNearShare * nearest;
+  const auto near = [&](const AddressCandidate& aIt) {
+    return aIt.locality >= kNearShare * nearest;
   };
-  const auto strong = [&](const AddressCandidate& it) {
-    return it.cores >= kStrongShare * strongest;
+  const auto strong = [&](const AddressCandidate& aIt) {
+    return aIt.cores >= kStrongShare * strongest;
   };
   double nearCores = 0;
   for (const auto& it : aCandidates) {
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -124,8 +124,8 @@
   attempt->request = std::move(aRequest);
   attempt->handler = std::move(aHandler);
   attempt->queuedAt = steady_clock::now();
-  const auto later = std::find_if(mQueue.begin(), mQueue.end(), [&](auto& it) {
-    return it->request->priority > attempt->request->priority;
+  const auto later = std::find_if(mQueue.begin(), mQueue.end(), [&](auto& aIt) {
+    return aIt->request->priority > attempt->request->priority;
   });
   mQueue.insert(later, attempt);
   Pump();
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -176,8 +176,8 @@
   std::size_t Reachable(TimePoint aNow)
   {
     return static_cast<std::size_t>(
-      std::count_if(mShards.begin(), mShards.end(), [&](const auto& it) {
-        return mContext.servers.HasUsable(*it.group, aNow);
+      std::count_if(mShards.begin(), mShards.end(), [&](const auto& aIt) {
+        return mContext.servers.HasUsable(*aIt.group, aNow);
       }));
   }
 
@@ -220,7 +220,7 @@
     const bool onlyGathered =
       std::all_of(aShard.running.begin(),
                   aShard.running.end(),
-                  [](const auto& it) { return it.attempt == nullptr; });
+                  [](const auto& aIt) { return aIt.attempt == nullptr; });
     if (!server && onlyGathered) {
       aShard.avoid.clear();
       server = Choose(aShard, {}, aNow);
@@ -346,7 +346,7 @@
     const auto& batch = node.mapped();
     for (const auto n : batch.shards) {
       std::erase_if(mShards[n].running,
-                    [&](const auto& it) { return it.slot == aSlot; });
+                    [&](const auto& aIt) { return aIt.slot == aSlot; });
     }
     const bool taken =
       aResult == AttemptResult::Answered && TakeMerged(batch, *aResponse);
@@ -385,8 +385,8 @@
   {
     return !aShard.ran.empty() || aShard.arrived ||
            std::any_of(
-             aShard.running.begin(), aShard.running.end(), [](const auto& it) {
-               return it.attempt && it.attempt->sent;
+             aShard.running.begin(), aShard.running.end(), [](const auto& aIt) {
+               return aIt.attempt && aIt.attempt->sent;
              });
   }
 
@@ -405,8 +405,8 @@
     std::vector<std::pair<Shard*, const PartialPart*>> included;
     for (const auto& part : *parts) {
       const auto it = std::find_if(
-        aBatch.shards.begin(), aBatch.shards.end(), [&](const auto n) {
-          return mShards[n].group->name == part.group;
+        aBatch.shards.begin(), aBatch.shards.end(), [&](const auto aN) {
+          return mShards[aN].group->name == part.group;
         });
       if (it == aBatch.shards.end()) {
         return false;
@@ -432,8 +432,8 @@
   bool TakeRepeat(Shard& aShard, TimePoint aNow)
   {
     const bool sent = std::any_of(
-      aShard.running.begin(), aShard.running.end(), [](const auto& it) {
-        return it.attempt == nullptr || it.attempt->sent;
+      aShard.running.begin(), aShard.running.end(), [](const auto& aIt) {
+        return aIt.attempt == nullptr || aIt.attempt->sent;
       });
     if (!aShard.arrived && !sent) {
       // Nothing has left for a server yet: this send replaces the others.
@@ -479,7 +479,7 @@
   {
     return std::find_if(aShard.running.begin(),
                         aShard.running.end(),
-                        [&](const auto& it) { return it.slot == aSlot; });
+                        [&](const auto& aIt) { return aIt.slot == aSlot; });
   }
 
   void OnAttempt(std::size_t aShard,
@@ -676,13 +676,13 @@
   {
     Process().metrics.Add(process::Counter::QueriesFailed);
     const bool gathered =
-      std::any_of(mBatches.begin(), mBatches.end(), [](const auto& it) {
-        return it.second.attempt && it.second.attempt->sent;
+      std::any_of(mBatches.begin(), mBatches.end(), [](const auto& aIt) {
+        return aIt.second.attempt && aIt.second.attempt->sent;
       });
     const bool ran =
       gathered ||
-      std::any_of(mShards.begin(), mShards.end(), [](const auto& it) {
-        return it.done || MayHaveArrived(it);
+      std::any_of(mShards.begin(), mShards.end(), [](const auto& aIt) {
+        return aIt.done || MayHaveArrived(aIt);
       });
     Finish(ran ? OwnReply(504, "too few shards answered in time")
                : RefusedReply("too few shards have a server", kRetryAfter),
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -25,7 +25,7 @@
 {
   return std::any_of(kConnectionHeaders.begin(),
                      kConnectionHeaders.end(),
-                     [&](auto it) { return iequals(aName, it); });
+                     [&](auto aIt) { return iequals(aName, aIt); });
 }
 
 template<typename Fields>
@@ -38,8 +38,8 @@
     const auto name = it.name_string();
     const bool skip =
       IsConnectionHeader(name) || named.exists(name) ||
-      std::any_of(aExcept.begin(), aExcept.end(), [&](auto except) {
-        return iequals(name, except);
+      std::any_of(aExcept.begin(), aExcept.end(), [&](auto aSkipped) {
+        return iequals(name, aSkipped);
       });
     if (!skip) {
       aOut.append(name).append(": ").append(it.value()).append("\r\n");
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -50,7 +50,7 @@
   }
   std::shuffle(states.begin(), states.end(), aRandom);
   std::stable_partition(
-    states.begin(), states.end(), [](const auto& it) { return it.serving; });
+    states.begin(), states.end(), [](const auto& aIt) { return aIt.serving; });
   const auto size = aFar ? mOptions.farDigestSize : mOptions.nearDigestSize;
   if (states.size() >= size) {
     states.resize(size - 1);
@@ -136,7 +136,7 @@
 {
   auto alive = Alive(aNow);
   const auto end = std::stable_partition(
-    alive.begin(), alive.end(), [](const auto& it) { return it.informed; });
+    alive.begin(), alive.end(), [](const auto& aIt) { return aIt.informed; });
   if (end != alive.begin()) {
     alive.erase(end, alive.end());
   }
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -193,7 +193,7 @@
 {
   return std::any_of(aGroup.servers.begin(),
                      aGroup.servers.end(),
-                     [&](const auto& it) { return MayUse(*it, aNow); });
+                     [&](const auto& aIt) { return MayUse(*aIt, aNow); });
 }
 
 std::vector<ServerId> ServerRegistry::Ids() const
@@ -221,8 +221,8 @@
   for (const auto name : groups) {
     const auto& servers = Group(std::string(name)).servers;
     local += static_cast<std::size_t>(
-      std::any_of(servers.begin(), servers.end(), [&](const auto& it) {
-        return it->Record().failureDomain == aDomain && MayUse(*it, aNow);
+      std::any_of(servers.begin(), servers.end(), [&](const auto& aIt) {
+        return aIt->Record().failureDomain == aDomain && MayUse(*aIt, aNow);
       }));
   }
   return static_cast<double>(local) / static_cast<double>(groups.size());
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -275,8 +275,8 @@
   [[nodiscard]] bool UnsentOnly() const
   {
     return !mLost &&
-           std::all_of(mRunning.begin(), mRunning.end(), [](const auto& it) {
-             return it.second.attempt && !it.second.attempt->sent;
+           std::all_of(mRunning.begin(), mRunning.end(), [](const auto& aIt) {
+             return aIt.second.attempt && !aIt.second.attempt->sent;
            });
   }
 
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -20,7 +20,7 @@
 constexpr auto kCounters = static_cast<std::size_t>(Counter::Count);
 constexpr auto kGauges = static_cast<std::size_t>(Gauge::Count);
 
-// In the order of the enumerators; docs/operations.md lists them.
+// In the order of the enumerators; docs/OPERATIONS.md lists them.
 constexpr std::array<MetricName, kCounters> kCounterNames{ {
   { "bronzedeal_queries_whole_total", "Queries answered with every shard" },
   { "bronzedeal_queries_partial_total", "Queries answered in part" },
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -230,7 +230,7 @@
   constexpr int kRounds = 40;
   for (int round = 0; round < kRounds; ++round) {
     for (auto& it : tables) {
-      const auto now = At(300 * round);
+      const auto now = At(std::int64_t{ 300 } * round);
       const auto digest = it.Digest(true, now, random);
       auto targets = it.Targets(1, 1, now, random);
       if (const auto seed = it.LostSeed({ Ip(0) }, now, random)) {
@@ -242,7 +242,8 @@
     }
   }
   for (const auto& it : tables) {
-    RC_ASSERT(it.Alive(At(300 * (kRounds - 1))).size() == kInstances);
+    RC_ASSERT(it.Alive(At(std::int64_t{ 300 } * (kRounds - 1))).size() ==
+              kInstances);
   }
 }
 
