--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -77,4 +77,31 @@
 struct OwnerResult;
 } // namespace daemon
 
+namespace gateway {
+class BackendServer;
+class CallerListener;
+class ColdAllowance;
+class DecisionLog;
+class Entry;
+class Exchange;
+class FleetShares;
+class Gateway;
+class MetadataFollower;
+class MetadataSource;
+class PeerGossip;
+class PeerPool;
+class PeerTable;
+class Platform;
+class RepeatBudget;
+class RouteLatency;
+class RouteTable;
+class ServerConnection;
+class ServerRegistry;
+class TimerQueue;
+struct Process;
+struct Route;
+struct ServerRecord;
+struct Settings;
+} // namespace gateway
+
 } // namespace bronzedeal
--- a/tests/daemon/headers_test.cpp
+++ b/tests/daemon/headers_test.cpp
@@ -12,6 +12,7 @@
 
 namespace fs = std::filesystem;
 
+constexpr std::string_view kClass = "class ";
 const fs::path kInclude = fs::path(BRONZEDEAL_SOURCE_DIR) / "include";
 
 std::vector<std::string> LinesOf(const fs::path& aFile)
@@ -35,8 +36,9 @@
     if (it.starts_with("namespace ")) {
       skipped = it.find("::peer ") != std::string::npos;
     }
-    if (!skipped && it.starts_with("class ") && it.ends_with(';') == aForward) {
-      classes.insert(it.substr(0, it.find_last_not_of(';') + 1));
+    if (!skipped && it.starts_with(kClass) && it.ends_with(';') == aForward) {
+      // Without the semicolon or the base classes.
+      classes.insert(it.substr(0, it.find_first_of(" :;", kClass.size())));
     }
   }
   return classes;
