--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -20,7 +20,10 @@
 constexpr double kIdleOperatorPace = 0.3;
 /// A watch of the operators' entries answers as soon as there is a change. A
 /// connection that has fallen silent is noticed by its keep-alive probes.
-constexpr auto kOperatorWait = milliseconds(25'000);
+/// A service that was silent for a moment may have lost a watch without an end
+/// of its connection: the wait is below the time for which the service counts
+/// as disturbed (4 s) plus the time within which a version is in force (3 s).
+constexpr auto kOperatorWait = milliseconds(4500);
 constexpr auto kServerWait = milliseconds(1500);
 /// The first watches after a failure are short, so that the service's return
 /// is noticed soon.
