Keep jitter out of the backoff's growth

Traced: the jitter was multiplied into the backoff that doubles, so six failures could take 0.3 s in place of 3 s, and the store then doesn't count as having been away. Load has no part in it. Change: the jitter applies to the delay alone; the test uses eight failures, 2.3 s with the least jitter.

--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -43,6 +43,14 @@
 /// Away for longer than this, entries may have lapsed.
 constexpr auto kLapseAfter = milliseconds(1500);
 
+/// Keeps instances that failed together from calling together. The backoff
+/// itself stays free of the jitter, which would otherwise add up.
+Duration Jittered(Duration aDelay, std::minstd_rand& aRandom)
+{
+  std::uniform_real_distribution<double> factor(0.5, 1.5);
+  return std::chrono::duration_cast<Duration>(aDelay * factor(aRandom));
+}
+
 } // namespace
 
 MetadataFollower::MetadataFollower(Process& aProcess,
@@ -114,7 +122,7 @@
   if (aReply.status != MetadataStatus::Ok) {
     OnFailure(aReply);
     mListing = {};
-    After(mBackoff, &MetadataFollower::ListPage);
+    After(Jittered(mBackoff, mRandom), &MetadataFollower::ListPage);
     return;
   }
   OnContact();
@@ -196,7 +204,7 @@
       return;
     case MetadataStatus::Unavailable:
       OnFailure(aReply);
-      After(mBackoff, &MetadataFollower::Watch);
+      After(Jittered(mBackoff, mRandom), &MetadataFollower::Watch);
       return;
     case MetadataStatus::Ok:
       break;
@@ -282,10 +290,7 @@
 
 void MetadataFollower::OnFailure(const MetadataReply& aReply)
 {
-  const double jitter =
-    std::uniform_real_distribution<double>(0.5, 1.5)(mRandom);
   mBackoff = std::clamp<Duration>(mBackoff * 2, kMinBackoff, kMaxBackoff);
-  mBackoff = std::chrono::duration_cast<Duration>(mBackoff * jitter);
   if (!mAway) {
     mAway = true;
     mAwaySince = mLastContact;
--- a/tests/gateway/follower_test.cpp
+++ b/tests/gateway/follower_test.cpp
@@ -208,14 +208,15 @@
     Reply(1,
           { ServerChanged{ Record("s-0") }, ServerChanged{ Record("s-1") } }),
   };
-  // Four failed watches take longer than entries need to lapse.
-  for (int n = 0; n < 6; ++n) {
+  // With the least jitter, these take 2.3 s: longer than the 1.5 s from which
+  // entries may have lapsed.
+  for (int n = 0; n < 8; ++n) {
     world.source.replies.push_back(MetadataReply{});
   }
   world.source.replies.push_back(
     Reply(2, { ServerGone{ "s-0" }, ServerGone{ "s-1" } }));
   world.source.replies.push_back(Reply(3, { ServerChanged{ Record("s-1") } }));
-  world.RunCalls(10);
+  world.RunCalls(12);
   EXPECT_EQ(world.servers.size(), 2U);
   world.RunUntil([&] { return world.servers.size() == 1; });
   EXPECT_EQ(world.servers.Ids(), std::vector<ServerId>{ "s-1" });
