Read servers from a serving instance of the own failure domain

Change: serving instances read the store and pass on what has changed to the others of their failure domain (ServerChanges, ServerRelay, RelayedSource). An instance refuses when its own last answer of the store is old; a follower leaves an instance that refuses, pauses or breaks, and reads the store itself. The wait of a watch follows the drain bound, and the counter of store reads counts only those that reach the store.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -96,6 +96,8 @@
   /// of the share otherwise.
   [[nodiscard]] bool TakeAllowance(TimePoint aNow);
   [[nodiscard]] bool Cold(TimePoint aNow) const noexcept;
+  /// How long it stays cold; 0 when it isn't.
+  [[nodiscard]] milliseconds ColdLeft(TimePoint aNow) const noexcept;
 
   [[nodiscard]] ReplicaView View(TimePoint aNow) const noexcept;
 
--- a/include/bronzedeal/gateway/cold_allowance.hpp
+++ b/include/bronzedeal/gateway/cold_allowance.hpp
@@ -2,8 +2,6 @@
 
 #include "bronzedeal/types.hpp"
 
-#include <string_view>
-
 namespace bronzedeal::gateway {
 
 /// Bound on the requests that reach a cold server in one second, from all
@@ -39,8 +37,4 @@
                                  unsigned aRank,
                                  unsigned aInstances) noexcept;
 
-/// Order of an instance among those that may send to a cold server.
-[[nodiscard]] std::uint64_t ColdRankHash(std::string_view aServer,
-                                         std::string_view aInstance) noexcept;
-
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/metadata_follower.hpp
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -27,6 +27,8 @@
   /// True while the service doesn't answer.
   [[nodiscard]] bool Away() const noexcept { return mAway; }
 
+  /// When the service, or an instance that reads it, last answered.
+  [[nodiscard]] TimePoint LastContact() const noexcept { return mLastContact; }
   /// True once a whole list has been taken.
   [[nodiscard]] bool Synchronized() const noexcept { return mSynchronized; }
 
@@ -41,6 +43,8 @@
   };
 
   void ListPage();
+  /// Counts the calls that reached the service.
+  void CountRead(const MetadataReply& aReply);
   void OnListed(MetadataReply aReply);
   void FinishList();
   void Watch();
@@ -52,7 +56,8 @@
   void OnContact();
   void After(Duration aDelay, void (MetadataFollower::*aStep)());
   [[nodiscard]] std::string_view TopicName() const noexcept;
-  [[nodiscard]] Duration Pace() const;
+  [[nodiscard]] milliseconds Wait() const;
+  [[nodiscard]] Duration Pace(bool aRelayed) const;
 
   Process& mProcess;
   Gateway& mGateway;
--- a/include/bronzedeal/gateway/metadata_source.hpp
+++ b/include/bronzedeal/gateway/metadata_source.hpp
@@ -67,6 +67,8 @@
   Ok,
   /// The changes after the asked revision are no longer known: list again.
   HistoryGone,
+  /// Another source answers from now on: list again.
+  Moved,
   /// No answer, or a refusal.
   Unavailable,
 };
@@ -78,6 +80,8 @@
   /// Revision of the store at the answer.
   std::uint64_t revision = 0;
   std::vector<RevisedChange> changes;
+  /// Another instance has passed it on: asking again costs the service nothing.
+  bool relayed = false;
   /// Where the next page of a list begins; empty after the last.
   std::string nextPage;
   /// For the log.
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -3,7 +3,9 @@
 #include "bronzedeal/gateway/backend_server.hpp"
 #include "bronzedeal/gateway/repeat_budget.hpp"
 #include "bronzedeal/gateway/route_table.hpp"
+#include "bronzedeal/gateway/server_changes.hpp"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -73,6 +75,20 @@
   [[nodiscard]] bool HasUsable(const GroupState& aGroup, TimePoint aNow) const;
 
   [[nodiscard]] std::vector<ServerId> Ids() const;
+
+  /// What the known ones of these servers are now.
+  [[nodiscard]] std::vector<ServerRecord> Records(
+    const std::vector<ServerId>& aIds,
+    TimePoint aNow) const;
+
+  /// When which servers have changed in a way that matters to instances.
+  [[nodiscard]] const ServerChanges& Changes() const noexcept
+  {
+    return mChanges;
+  }
+
+  /// Called after each change of `Changes`.
+  void OnChange(std::function<void()> aHandler);
   [[nodiscard]] std::size_t size() const noexcept { return mById.size(); }
 
   /// Shards or services of the table that have a usable server in the domain,
@@ -90,12 +106,15 @@
     const UsedServers& aAvoid,
     TimePoint aNow) const;
   void ApplyShare(BackendServer& aServer) const;
+  void NoteChanged(const ServerId& aServer);
 
   Process& mProcess;
   std::unordered_map<ServerId, std::shared_ptr<BackendServer>> mById;
   std::unordered_map<std::string, std::unique_ptr<GroupState>> mGroups;
   std::unordered_map<std::string, std::size_t> mConnectionShares;
   std::set<FailureDomain> mWithdrawn;
+  ServerChanges mChanges;
+  std::function<void()> mOnChange;
 };
 
 } // namespace bronzedeal::gateway
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -86,6 +86,12 @@
   return aNow < mColdUntil;
 }
 
+milliseconds BackendServer::ColdLeft(TimePoint aNow) const noexcept
+{
+  return std::chrono::ceil<milliseconds>(
+    std::max(mColdUntil - aNow, Duration::zero()));
+}
+
 bool BackendServer::TakeAllowance(TimePoint aNow)
 {
   if (!Cold(aNow)) {
--- a/src/gateway/cold_allowance.cpp
+++ b/src/gateway/cold_allowance.cpp
@@ -1,8 +1,6 @@
 #include "bronzedeal/gateway/cold_allowance.hpp"
 
 #include <algorithm>
-#include <string>
-#include <xxhash.h>
 
 namespace bronzedeal::gateway {
 
@@ -46,11 +44,4 @@
   return true;
 }
 
-std::uint64_t ColdRankHash(std::string_view aServer,
-                           std::string_view aInstance) noexcept
-{
-  const auto seed = XXH64(aServer.data(), aServer.size(), 0);
-  return XXH64(aInstance.data(), aInstance.size(), seed);
-}
-
 } // namespace bronzedeal::gateway
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -5,6 +5,8 @@
 #include "bronzedeal/gateway/gateway.hpp"
 #include "bronzedeal/gateway/metadata_follower.hpp"
 #include "bronzedeal/gateway/peer_gossip.hpp"
+#include "bronzedeal/gateway/relayed_source.hpp"
+#include "bronzedeal/gateway/server_relay.hpp"
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
@@ -39,8 +41,16 @@
     , servers(process)
     , gateway(process, servers)
     , metadata(platform.OpenMetadata(process.context, process.settings))
-    , serverFollower(process, gateway, servers, *metadata, Topic::Servers)
+    , serverSource(process, *metadata)
+    , serverFollower(process, gateway, servers, serverSource, Topic::Servers)
     , operatorFollower(process, gateway, servers, *metadata, Topic::Operators)
+    , relay(process,
+            servers,
+            [this] {
+              return serverSource.Direct() && Ready() && !serverFollower.Away()
+                       ? std::optional(serverFollower.LastContact())
+                       : std::nullopt;
+            })
     , gossip(process, [this] { UpdateShares(); })
     , callers(process,
               process.settings.callers,
@@ -69,6 +79,7 @@
         })
     , signals(process.context, SIGTERM, SIGINT, SIGHUP)
   {
+    servers.OnChange([this] { relay.OnChange(); });
     if (process.settings.metrics) {
       metrics = std::make_unique<CallerListener>(
         process,
@@ -101,6 +112,9 @@
   std::shared_ptr<Exchange> OnInstanceRequest(CallerRequest aRequest,
                                               ReplyHandler aReply)
   {
+    if (const auto query = DecodeRelayQuery(aRequest.message)) {
+      return relay.Handle(*query, std::move(aReply));
+    }
     if (!serverFollower.Synchronized()) {
       aReply(RefusedReply("no servers known yet", milliseconds(200)));
       return nullptr;
@@ -186,6 +200,7 @@
     process.shares.Update(serving, now);
     process.peers.Self().serving = process.shares.Serving();
     gateway.Peers().Update(process.peers.Informed(now));
+    UpdateRelays(serving, now);
     if (process.shares.Divisor() != former) {
       process.log.Write(
         "shares_changed",
@@ -195,6 +210,26 @@
     }
   }
 
+  /// The instances that callers are sent to read the servers from the service;
+  /// the others from one of those in their failure domain.
+  void UpdateRelays(const std::vector<InstanceId>& aServing, TimePoint aNow)
+  {
+    const auto serves = [&](const InstanceId& aInstance) {
+      return std::find(aServing.begin(), aServing.end(), aInstance) !=
+             aServing.end();
+    };
+    std::vector<PeerState> relays;
+    if (!serves(process.settings.instance)) {
+      for (auto& it : process.peers.Alive(aNow)) {
+        if (serves(it.instance) && it.informed && it.ready && !it.leaving &&
+            it.failureDomain == process.settings.failureDomain) {
+          relays.push_back(std::move(it));
+        }
+      }
+    }
+    serverSource.SetRelays(relays);
+  }
+
   double Locality(const FailureDomain& aDomain, TimePoint aNow)
   {
     return gateway.Table() ? servers.Locality(*gateway.Table(), aDomain, aNow)
@@ -342,8 +377,10 @@
   ServerRegistry servers;
   Gateway gateway;
   std::unique_ptr<MetadataSource> metadata;
+  RelayedSource serverSource;
   MetadataFollower serverFollower;
   MetadataFollower operatorFollower;
+  ServerRelay relay;
   PeerGossip gossip;
   CallerListener callers;
   CallerListener readiness;
--- a/src/gateway/fleet_shares.cpp
+++ b/src/gateway/fleet_shares.cpp
@@ -1,6 +1,6 @@
 #include "bronzedeal/gateway/fleet_shares.hpp"
 
-#include "bronzedeal/gateway/cold_allowance.hpp"
+#include "bronzedeal/gateway/rendezvous.hpp"
 
 #include <algorithm>
 
@@ -44,10 +44,11 @@
   if (!mSelfServes) {
     return Divisor();
   }
-  const auto own = ColdRankHash(aServer, mSelf);
+  const auto own = RendezvousHash(aServer, mSelf);
   return static_cast<unsigned>(
     std::count_if(mServing.begin(), mServing.end(), [&](const auto& aEntry) {
-      return aEntry.first != mSelf && ColdRankHash(aServer, aEntry.first) < own;
+      return aEntry.first != mSelf &&
+             RendezvousHash(aServer, aEntry.first) < own;
     }));
 }
 
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -14,6 +14,8 @@
 constexpr double kServerPace = 0.25;
 /// The same for an instance that callers aren't sent to.
 constexpr double kIdleServerPace = 0.6;
+/// The same when another instance passes the changes on: no call is priced.
+constexpr double kRelayedPace = 0.1;
 /// The same for the operators' entries: changes in quick succession are taken
 /// together.
 constexpr double kOperatorPace = 0.1;
@@ -24,7 +26,9 @@
 /// of its connection: the wait is below the time for which the service counts
 /// as disturbed (4 s) plus the time within which a version is in force (3 s).
 constexpr auto kOperatorWait = milliseconds(4500);
-constexpr auto kServerWait = milliseconds(1500);
+/// A watch of the servers waits for this part of the time within which a
+/// leaving server must be out of use.
+constexpr double kServerWait = 0.3;
 /// The first watches after a failure are short, so that the service's return
 /// is noticed soon.
 constexpr auto kProbeWait = milliseconds(200);
@@ -34,6 +38,8 @@
 /// Beyond the wait until a call is given up.
 constexpr auto kReplySlack = milliseconds(700);
 constexpr auto kListTimeout = milliseconds(1500);
+/// Before another source is asked: an instance that refuses doesn't recurse.
+constexpr auto kSwitchPause = milliseconds(5);
 /// After a failed call; doubles up to the maximum, with jitter.
 constexpr auto kMinBackoff = milliseconds(100);
 constexpr auto kMaxBackoff = milliseconds(800);
@@ -72,16 +78,26 @@
   return mTopic == Topic::Servers ? "servers" : "operators";
 }
 
-Duration MetadataFollower::Pace() const
+Duration MetadataFollower::Pace(bool aRelayed) const
 {
   const bool serving = mProcess.shares.Serving();
-  const double part = mTopic == Topic::Servers
-                        ? (serving ? kServerPace : kIdleServerPace)
-                        : (serving ? kOperatorPace : kIdleOperatorPace);
+  const double direct = mTopic == Topic::Servers
+                          ? (serving ? kServerPace : kIdleServerPace)
+                          : (serving ? kOperatorPace : kIdleOperatorPace);
+  const double part = aRelayed ? kRelayedPace : direct;
   return std::chrono::duration_cast<Duration>(part *
                                               mProcess.settings.drainBound);
 }
 
+milliseconds MetadataFollower::Wait() const
+{
+  return mTopic == Topic::Servers
+           ? std::chrono::duration_cast<milliseconds>(
+               kServerWait *
+               std::chrono::duration<double>(mProcess.settings.drainBound))
+           : kOperatorWait;
+}
+
 void MetadataFollower::Start()
 {
   *mRunning = true;
@@ -106,7 +122,6 @@
 
 void MetadataFollower::ListPage()
 {
-  mProcess.metrics.Add(process::Counter::PlatformReads);
   mSource.List(mTopic,
                mListing.page,
                kListTimeout,
@@ -117,8 +132,21 @@
                });
 }
 
+void MetadataFollower::CountRead(const MetadataReply& aReply)
+{
+  if (!aReply.relayed && aReply.status != MetadataStatus::Moved) {
+    mProcess.metrics.Add(process::Counter::PlatformReads);
+  }
+}
+
 void MetadataFollower::OnListed(MetadataReply aReply)
 {
+  CountRead(aReply);
+  if (aReply.status == MetadataStatus::Moved) {
+    mListing = {};
+    After(kSwitchPause, &MetadataFollower::ListPage);
+    return;
+  }
   if (aReply.status != MetadataStatus::Ok) {
     OnFailure(aReply);
     mListing = {};
@@ -176,10 +204,7 @@
 
 void MetadataFollower::Watch()
 {
-  mProcess.metrics.Add(process::Counter::PlatformReads);
-  const auto wait = mAway                      ? kProbeWait
-                    : mTopic == Topic::Servers ? kServerWait
-                                               : kOperatorWait;
+  const auto wait = mAway ? kProbeWait : Wait();
   mSource.Watch(mTopic,
                 mRevision,
                 wait,
@@ -193,6 +218,7 @@
 
 void MetadataFollower::OnWatched(MetadataReply aReply)
 {
+  CountRead(aReply);
   switch (aReply.status) {
     case MetadataStatus::HistoryGone:
       mProcess.log.Write(
@@ -202,6 +228,9 @@
       OnContact();
       ListPage();
       return;
+    case MetadataStatus::Moved:
+      After(kSwitchPause, &MetadataFollower::ListPage);
+      return;
     case MetadataStatus::Unavailable:
       OnFailure(aReply);
       After(Jittered(mBackoff, mRandom), &MetadataFollower::Watch);
@@ -225,7 +254,7 @@
   if (behind) {
     Watch();
   } else {
-    After(Pace(), &MetadataFollower::Watch);
+    After(Pace(aReply.relayed), &MetadataFollower::Watch);
   }
 }
 
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -12,6 +12,9 @@
 /// Part of a server's connections that is shared out; the rest serves
 /// instances whose view of the fleet is older, and connections that close.
 constexpr double kConnectionsSharedOut = 0.9;
+/// A server whose cold time moves by more than this has become cold again; less
+/// is the delay of its record on the way.
+constexpr auto kColdChange = milliseconds(300);
 
 } // namespace
 
@@ -35,7 +38,15 @@
                              { "group", aRecord.group },
                              { "draining", aRecord.draining } });
       }
+      const bool changed =
+        known.draining != aRecord.draining || known.slots != aRecord.slots ||
+        known.failureDomain != aRecord.failureDomain ||
+        aRecord.coldLeft > it->second->ColdLeft(aNow) + kColdChange;
+      const auto id = aRecord.id;
       it->second->Update(std::move(aRecord), aNow);
+      if (changed) {
+        NoteChanged(id);
+      }
       return;
     }
     Remove(aRecord.id, "replaced");
@@ -50,7 +61,9 @@
   auto server = std::make_shared<BackendServer>(mProcess, std::move(aRecord));
   ApplyShare(*server);
   group.servers.push_back(server);
-  mById.emplace(server->Record().id, std::move(server));
+  const auto id = server->Record().id;
+  mById.emplace(id, std::move(server));
+  NoteChanged(id);
   mProcess.metrics.Set(process::Gauge::ServersKnown,
                        static_cast<double>(mById.size()));
 }
@@ -71,6 +84,23 @@
   mProcess.metrics.Set(process::Gauge::ServersKnown,
                        static_cast<double>(mById.size()));
   server->Retire();
+  mChanges.OnRemoved(server->Record().id);
+  if (mOnChange) {
+    mOnChange();
+  }
+}
+
+void ServerRegistry::NoteChanged(const ServerId& aServer)
+{
+  mChanges.OnChanged(aServer);
+  if (mOnChange) {
+    mOnChange();
+  }
+}
+
+void ServerRegistry::OnChange(std::function<void()> aHandler)
+{
+  mOnChange = std::move(aHandler);
 }
 
 void ServerRegistry::SetWithdrawn(const FailureDomain& aDomain, bool aWithdrawn)
@@ -206,6 +236,21 @@
   return ids;
 }
 
+std::vector<ServerRecord> ServerRegistry::Records(
+  const std::vector<ServerId>& aIds,
+  TimePoint aNow) const
+{
+  std::vector<ServerRecord> records;
+  records.reserve(aIds.size());
+  for (const auto& id : aIds) {
+    if (const auto server = Find(id)) {
+      records.push_back(server->Record());
+      records.back().coldLeft = server->ColdLeft(aNow);
+    }
+  }
+  return records;
+}
+
 double ServerRegistry::Locality(const RouteTable& aTable,
                                 const FailureDomain& aDomain,
                                 TimePoint aNow)
--- /dev/null
+++ b/tests/gateway/relay_test.cpp
@@ -0,0 +1,266 @@
+#include "support.hpp"
+
+#include "bronzedeal/gateway/caller_listener.hpp"
+#include "bronzedeal/gateway/relayed_source.hpp"
+#include "bronzedeal/gateway/server_relay.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace bronzedeal::gateway::test {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+/// The metadata service of a test; counts its calls and answers none.
+class CountingService : public MetadataSource
+{
+public:
+  void List(Topic, const std::string&, Duration, Handler) override { ++lists; }
+  void Watch(Topic, std::uint64_t, milliseconds, Duration, Handler) override
+  {
+    ++watches;
+  }
+
+  int lists = 0;
+  int watches = 0;
+};
+
+/// An instance that reads the service, and one that reads from it.
+struct Relaying
+{
+  Relaying()
+    : relay(reader.process, reader.servers, [this] { return contact; })
+    , listener(reader.process,
+               { asio::ip::address_v4::loopback(), 0 },
+               [this](const CallerRequest& aRequest,
+                      ReplyHandler aReply) -> std::shared_ptr<Exchange> {
+                 if (silent) {
+                   held.push_back(std::move(aReply));
+                   return nullptr;
+                 }
+                 const auto query = DecodeRelayQuery(aRequest.message);
+                 return query ? relay.Handle(*query, std::move(aReply))
+                              : nullptr;
+               })
+    , source(follower.process, service)
+  {
+    reader.servers.OnChange([this] { relay.OnChange(); });
+    follower.process.settings.gossip.port(listener.Address().port());
+    PeerState state;
+    state.address = asio::ip::address_v4::loopback();
+    state.instance = "gw-reader";
+    source.SetRelays({ state });
+  }
+
+  /// Runs both instances until the condition holds.
+  void RunUntil(const std::function<bool()>& aDone)
+  {
+    const auto end = steady_clock::now() + std::chrono::seconds(20);
+    while (!aDone() && steady_clock::now() < end) {
+      for (auto* it : { &reader.process.context, &follower.process.context }) {
+        it->run_one_for(milliseconds(2));
+        it->restart();
+      }
+    }
+  }
+
+  MetadataReply List()
+  {
+    std::optional<MetadataReply> reply;
+    source.List(Topic::Servers, "", milliseconds(500), [&](auto aReply) {
+      reply = std::move(aReply);
+    });
+    RunUntil([&] { return reply.has_value() || service.lists > 0; });
+    return reply.value_or(MetadataReply{});
+  }
+
+  std::optional<MetadataReply> watched;
+
+  void Watch(std::uint64_t aRevision, milliseconds aWait)
+  {
+    watched.reset();
+    source.Watch(Topic::Servers,
+                 aRevision,
+                 aWait,
+                 aWait + milliseconds(300),
+                 [this](auto aReply) { watched = std::move(aReply); });
+  }
+
+  World reader;
+  World follower;
+  std::optional<TimePoint> contact = steady_clock::now();
+  bool silent = false;
+  std::vector<ReplyHandler> held;
+  ServerRelay relay;
+  CallerListener listener;
+  CountingService service;
+  RelayedSource source;
+};
+
+const tcp::endpoint kNowhere{ asio::ip::address_v4::loopback(), 9 };
+
+} // namespace
+
+// Guards against a reader that misses a change or a removal, whatever it knew
+// before (a leaving server would stay in use).
+RC_GTEST_PROP(ServerChanges, DeltasLeadFromAnyStateToThePresent, ())
+{
+  ServerChanges changes;
+  std::set<ServerId> present;
+  std::vector<std::pair<std::uint64_t, std::set<ServerId>>> states;
+  const auto steps = *rc::gen::container<std::vector<std::pair<bool, int>>>(
+    rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 6)));
+  for (const auto& [change, n] : steps) {
+    states.emplace_back(changes.Sequence(), present);
+    const auto id = "s-" + std::to_string(n);
+    if (change) {
+      changes.OnChanged(id);
+      present.insert(id);
+    } else {
+      changes.OnRemoved(id);
+      present.erase(id);
+    }
+  }
+  for (auto [sequence, known] : states) {
+    const auto delta = changes.After(sequence);
+    RC_ASSERT(delta.has_value());
+    for (const auto& it : delta->removed) {
+      known.erase(it);
+    }
+    known.insert(delta->changed.begin(), delta->changed.end());
+    RC_ASSERT(known == present);
+  }
+}
+
+// Guards against a delta that lacks forgotten removals.
+TEST(ServerChanges, TellsWhenRemovalsAreForgotten)
+{
+  ServerChanges changes;
+  for (std::size_t n = 0; n <= ServerChanges::kMaxRemovals; ++n) {
+    changes.OnRemoved("s");
+  }
+  EXPECT_FALSE(changes.After(1).has_value());
+  EXPECT_TRUE(changes.After(2).has_value());
+  EXPECT_FALSE(changes.After(changes.Sequence() + 1).has_value());
+}
+
+// Guards against fields lost between instances.
+TEST(RelayMessage, KeepsAllFields)
+{
+  ServerRecord record;
+  record.id = "i-1";
+  record.group = "g0";
+  record.address = { asio::ip::make_address("10.1.2.3"), 8486 };
+  record.failureDomain = "fd-b";
+  record.slots = 6;
+  record.draining = true;
+  record.coldLeft = milliseconds(1200);
+  record.startedAtMs = 1'784'733'522'000;
+  const auto reply =
+    DecodeRelayReply(EncodeRelayReply({ 7, 12, { record }, { "i-0" } }));
+  ASSERT_TRUE(reply && reply->servers.size() == 1);
+  EXPECT_EQ(reply->epoch, 7U);
+  EXPECT_EQ(reply->sequence, 12U);
+  EXPECT_EQ(reply->removed, std::vector<ServerId>{ "i-0" });
+  const auto& server = reply->servers.front();
+  EXPECT_EQ(server.id, record.id);
+  EXPECT_EQ(server.group, record.group);
+  EXPECT_EQ(server.address, record.address);
+  EXPECT_EQ(server.failureDomain, record.failureDomain);
+  EXPECT_EQ(server.slots, record.slots);
+  EXPECT_TRUE(server.draining);
+  EXPECT_EQ(server.coldLeft, record.coldLeft);
+  EXPECT_EQ(server.startedAtMs, record.startedAtMs);
+}
+
+// Guards against nonsense from a peer being taken for an empty list.
+TEST(RelayMessage, RefusesNonsense)
+{
+  EXPECT_FALSE(DecodeRelayReply("{}").has_value());
+  EXPECT_FALSE(DecodeRelayReply("[1").has_value());
+  EXPECT_FALSE(DecodeRelayReply(
+                 R"({"epoch":1,"sequence":2,"servers":[["i-1"]],"removed":[]})")
+                 .has_value());
+}
+
+// Guards against all instances reading the service: a list and the change after
+// it come from the other instance.
+TEST(Relay, PassesServersOnWithoutACallToTheService)
+{
+  Relaying world;
+  world.reader.AddServer("s-0", "g0", kNowhere);
+  const auto listed = world.List();
+  ASSERT_EQ(listed.status, MetadataStatus::Ok);
+  EXPECT_TRUE(listed.relayed);
+  ASSERT_EQ(listed.changes.size(), 1U);
+
+  world.Watch(listed.revision, milliseconds(5000));
+  const auto later = steady_clock::now() + milliseconds(60);
+  world.RunUntil([&] { return steady_clock::now() >= later; });
+  EXPECT_FALSE(world.watched.has_value());
+  world.reader.AddServer("s-1", "g0", kNowhere);
+  world.RunUntil([&] { return world.watched.has_value(); });
+  ASSERT_TRUE(world.watched && world.watched->changes.size() == 1);
+  EXPECT_TRUE(std::holds_alternative<ServerChanged>(
+    world.watched->changes.front().change));
+  EXPECT_EQ(world.service.lists + world.service.watches, 0);
+}
+
+// Guards against an instance that has lost the service passing on old servers:
+// the follower reads the service itself.
+TEST(Relay, RefusesWhatMayBeOutOfDate)
+{
+  Relaying world;
+  world.contact = steady_clock::now() - std::chrono::seconds(10);
+  EXPECT_EQ(world.List().status, MetadataStatus::Moved);
+  EXPECT_EQ(world.List().status, MetadataStatus::Unavailable);
+  EXPECT_TRUE(world.source.Direct());
+  EXPECT_EQ(world.service.lists, 1);
+}
+
+// Guards against a paused reader holding up its followers for longer than the
+// bound on leaving servers.
+TEST(Relay, LeavesAPausedInstance)
+{
+  Relaying world;
+  const auto listed = world.List();
+  ASSERT_EQ(listed.status, MetadataStatus::Ok);
+  world.silent = true;
+  const auto start = steady_clock::now();
+  world.Watch(listed.revision, std::chrono::hours(1));
+  world.RunUntil([&] { return world.watched.has_value(); });
+  ASSERT_TRUE(world.watched.has_value());
+  EXPECT_EQ(world.watched->status, MetadataStatus::Moved);
+  EXPECT_LT(steady_clock::now() - start,
+            world.follower.process.settings.drainBound);
+  world.List();
+  EXPECT_EQ(world.service.lists, 1);
+}
+
+// Guards against a sequence of a former run being taken for one of this run.
+TEST(Relay, ListsAgainAfterARestartOfTheReader)
+{
+  Relaying world;
+  const auto listed = world.List();
+  ++world.reader.process.peers.Self().incarnation;
+  world.Watch(listed.revision, milliseconds(1000));
+  world.RunUntil([&] { return world.watched.has_value(); });
+  ASSERT_TRUE(world.watched.has_value());
+  EXPECT_EQ(world.watched->status, MetadataStatus::Moved);
+}
+
+// Guards against an instance that callers are sent to following another one.
+TEST(Relay, ReadsTheServiceWithoutRelays)
+{
+  Relaying world;
+  world.source.SetRelays({});
+  world.List();
+  EXPECT_EQ(world.service.lists, 1);
+  world.Watch(1, milliseconds(10));
+  EXPECT_EQ(world.service.watches, 1);
+}
+
+} // namespace bronzedeal::gateway::test
