Know the fleet before taking shares of limits; open connections ahead

Queries after a repartition opened all connections at the same moment.

Change: an instance that hears of a newcomer answers its datagram at once; a started instance takes a small share of each limit and names no addresses until it has heard of others for a round (or of nobody for a second). Serving instances open one connection to each server ahead of requests. A server that was full gets nothing more for 15 ms. The end line of a single request names its group and what bound it.

The single requests that fail with 502 are on a route that may not be repeated.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -114,6 +114,9 @@
   /// Ends the attempts that wait for a connection as not run.
   void DropQueued();
 
+  /// Opens a connection ahead of the first request, unless there is one.
+  void Warm();
+
   /// No more work: queued attempts end as not run, idle connections close.
   void Retire();
 
@@ -151,6 +154,7 @@
   bool mReachable = true;
   TimePoint mUnreachableSince{};
   TimePoint mMisdirectedUntil{};
+  TimePoint mFullUntil{};
   Duration mBackoff{};
   double mSlowness = 1;
   double mFailureRate = 0;
--- a/include/bronzedeal/gateway/fleet_shares.hpp
+++ b/include/bronzedeal/gateway/fleet_shares.hpp
@@ -34,7 +34,10 @@
 private:
   InstanceId mSelf;
   std::map<InstanceId, TimePoint> mServing;
-  bool mSelfServes = true;
+  bool mSelfServes = false;
+  /// False until the first update: a process that has just started must not
+  /// take the whole of each limit because it has heard of nobody yet.
+  bool mKnown = false;
 };
 
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/peer_table.hpp
+++ b/include/bronzedeal/gateway/peer_table.hpp
@@ -65,6 +65,9 @@
                                               TimePoint aNow,
                                               std::minstd_rand& aRandom);
 
+  /// Whether a datagram of this instance would be the first of its run.
+  [[nodiscard]] bool IsNewcomer(const PeerState& aState) const;
+
   /// Takes the content of a datagram.
   void Merge(const std::vector<PeerState>& aStates, TimePoint aNow);
 
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -5,6 +5,7 @@
 #include "bronzedeal/gateway/route_table.hpp"
 #include "bronzedeal/gateway/server_changes.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -36,6 +37,10 @@
   void Upsert(ServerRecord aRecord, TimePoint aNow);
   void Remove(const ServerId& aId, std::string_view aReason);
 
+  /// Opens a connection to each server ahead of requests; for an instance that
+  /// callers are sent to from now on.
+  void WarmAll();
+
   /// Whether operators have taken a failure domain out: no new work for its
   /// servers.
   void SetWithdrawn(const FailureDomain& aDomain, bool aWithdrawn);
@@ -106,6 +111,8 @@
     const UsedServers& aAvoid,
     TimePoint aNow) const;
   void ApplyShare(BackendServer& aServer) const;
+  void QueueWarm(const std::shared_ptr<BackendServer>& aServer);
+  void ScheduleWarm();
   void NoteChanged(const ServerId& aServer);
 
   Process& mProcess;
@@ -113,6 +120,7 @@
   std::unordered_map<std::string, std::unique_ptr<GroupState>> mGroups;
   std::unordered_map<std::string, std::size_t> mConnectionShares;
   std::set<FailureDomain> mWithdrawn;
+  std::deque<std::weak_ptr<BackendServer>> mWarmQueue;
   ServerChanges mChanges;
   std::function<void()> mOnChange;
 };
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -24,6 +24,9 @@
 /// An address that answers as another server is left alone for this long; by
 /// then the metadata service has named the server's new state.
 constexpr auto kMisdirected = milliseconds(3000);
+/// A server that was full gets nothing more for this long: about the time in
+/// which a slot becomes free.
+constexpr auto kFullPause = milliseconds(15);
 /// Largest response of a server that is read.
 constexpr std::size_t kMaxResponseBody = std::size_t{ 16 } << 20;
 /// Weight of a new sample in the moving averages.
@@ -78,7 +81,8 @@
 bool BackendServer::Usable(TimePoint aNow) const noexcept
 {
   return !mRetired && !mRecord.draining && mReachable &&
-         mQueue.size() < kMaxQueued && aNow >= mMisdirectedUntil;
+         mQueue.size() < kMaxQueued && aNow >= mMisdirectedUntil &&
+         aNow >= mFullUntil;
 }
 
 bool BackendServer::Cold(TimePoint aNow) const noexcept
@@ -201,6 +205,15 @@
   }
 }
 
+void BackendServer::Warm()
+{
+  const bool connected =
+    !mInFlight.empty() || !mIdle.empty() || mConnecting > 0;
+  if (!connected && !mRetired && mReachable && !mRecord.draining) {
+    OpenConnection();
+  }
+}
+
 void BackendServer::OpenConnection()
 {
   ++mConnecting;
@@ -383,6 +396,7 @@
   } else if (aResponse->find(names.notRun) != aResponse->end()) {
     CountOutcome(true);
     mLastSample = now;
+    mFullUntil = now + kFullPause;
     Finish(aAttempt, AttemptResult::NotRun, AttemptFault::Refused, aResponse);
   } else {
     CountOutcome(aResponse->result_int() >= 500);
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -28,6 +28,11 @@
 /// A changed settings file is noticed without a signal, too.
 constexpr auto kReloadPoll = std::chrono::seconds(1);
 constexpr auto kSummary = std::chrono::seconds(10);
+/// A process that has just started takes its view of the fleet for complete
+/// this long after it has heard of the first other instance: a round of gossip.
+constexpr auto kSettle = milliseconds(300);
+/// Without any other instance heard of, it is alone.
+constexpr auto kAlone = milliseconds(1000);
 /// Whether this instance is ready is told to the others this often.
 constexpr auto kReadyPoll = milliseconds(200);
 
@@ -140,6 +145,10 @@
     if (!platform.IsAddressCall(aRequest.message.target())) {
       return OwnReply(404, "unknown path");
     }
+    if (!settled) {
+      // It would name itself alone; the caller asks another instance.
+      return OwnReply(503, "the other instances aren't known yet");
+    }
     std::vector<std::string> picked;
     for (const auto& it : ServingAddresses()) {
       picked.push_back(
@@ -185,10 +194,26 @@
     return PickAddresses(std::move(candidates));
   }
 
+  bool Settled(TimePoint aNow)
+  {
+    if (settled) {
+      return true;
+    }
+    const bool alone = process.peers.Alive(aNow).size() == 1;
+    if (!alone && firstHeard == TimePoint{}) {
+      firstHeard = aNow;
+    }
+    settled = alone ? aNow - started >= kAlone : aNow - firstHeard >= kSettle;
+    return settled;
+  }
+
   /// Works out which instances callers are sent to, and so this one's shares.
   void UpdateShares()
   {
     const auto now = steady_clock::now();
+    if (!Settled(now)) {
+      return;
+    }
     const auto named = ServingAddresses();
     std::vector<InstanceId> serving;
     for (const auto& it : process.peers.Alive(now)) {
@@ -197,7 +222,11 @@
       }
     }
     const auto former = process.shares.Divisor();
+    const bool served = process.shares.Serving();
     process.shares.Update(serving, now);
+    if (process.shares.Serving() && !served) {
+      servers.WarmAll();
+    }
     process.peers.Self().serving = process.shares.Serving();
     gateway.Peers().Update(process.peers.Informed(now));
     UpdateRelays(serving, now);
@@ -390,6 +419,10 @@
   std::unique_ptr<CallerListener> metrics;
   boost::asio::signal_set signals;
   ConfigVersion limitsVersion = 0;
+  TimePoint started = steady_clock::now();
+  TimePoint firstHeard{};
+  /// Whether the view of the fleet is taken for complete.
+  bool settled = false;
   bool draining = false;
   TimePoint drainStarted{};
 };
--- a/src/gateway/fleet_shares.cpp
+++ b/src/gateway/fleet_shares.cpp
@@ -12,6 +12,9 @@
 constexpr auto kMemory = std::chrono::seconds(12);
 /// The share of an instance that doesn't serve is this part of the others'.
 constexpr unsigned kIdleDivisor = 8;
+/// Serving instances that are assumed until the fleet is known: the most that
+/// callers are usually sent to.
+constexpr unsigned kUnknownFleet = 12;
 
 } // namespace
 
@@ -30,12 +33,14 @@
     return aNow - aEntry.second > kMemory;
   });
   mSelfServes = mServing.contains(mSelf);
+  mKnown = true;
 }
 
 unsigned FleetShares::Divisor() const noexcept
 {
   const auto serving =
-    static_cast<unsigned>(std::max<std::size_t>(1, mServing.size()));
+    mKnown ? static_cast<unsigned>(std::max<std::size_t>(1, mServing.size()))
+           : kUnknownFleet;
   return mSelfServes ? serving : kIdleDivisor * serving;
 }
 
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -127,7 +127,17 @@
                        { { "bytes", static_cast<std::int64_t>(aSize) } });
     return;
   }
-  mProcess.peers.Merge(states, steady_clock::now());
+  auto& peers = mProcess.peers;
+  const auto now = steady_clock::now();
+  // The sender's own state comes first.
+  const bool newcomer = !states.empty() && peers.IsNewcomer(states.front());
+  peers.Merge(states, now);
+  if (newcomer) {
+    // It needs to know the fleet before it can take its shares of the limits.
+    Send({ states.front().address },
+         states.front().failureDomain != peers.Self().failureDomain,
+         now);
+  }
 }
 
 } // namespace bronzedeal::gateway
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -59,6 +59,14 @@
   return states;
 }
 
+bool PeerTable::IsNewcomer(const PeerState& aState) const
+{
+  const auto known = mPeers.find(aState.address);
+  return aState.address != mSelf.address &&
+         (known == mPeers.end() ||
+          aState.incarnation > known->second.state.incarnation);
+}
+
 void PeerTable::Merge(const std::vector<PeerState>& aStates, TimePoint aNow)
 {
   for (const auto& it : aStates) {
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -12,6 +12,9 @@
 /// Part of a server's connections that is shared out; the rest serves
 /// instances whose view of the fleet is older, and connections that close.
 constexpr double kConnectionsSharedOut = 0.9;
+/// Connections are opened ahead of requests one by one, at this pace: opening
+/// one takes a server's slot for a few milliseconds.
+constexpr auto kWarmPace = milliseconds(4);
 /// A server whose cold time moves by more than this has become cold again; less
 /// is the delay of its record on the way.
 constexpr auto kColdChange = milliseconds(300);
@@ -61,6 +64,7 @@
   auto server = std::make_shared<BackendServer>(mProcess, std::move(aRecord));
   ApplyShare(*server);
   group.servers.push_back(server);
+  QueueWarm(server);
   const auto id = server->Record().id;
   mById.emplace(id, std::move(server));
   NoteChanged(id);
@@ -90,6 +94,37 @@
   }
 }
 
+void ServerRegistry::WarmAll()
+{
+  for (const auto& [id, server] : mById) {
+    QueueWarm(server);
+  }
+}
+
+void ServerRegistry::QueueWarm(const std::shared_ptr<BackendServer>& aServer)
+{
+  if (!mProcess.shares.Serving()) {
+    return;
+  }
+  mWarmQueue.push_back(aServer);
+  if (mWarmQueue.size() == 1) {
+    ScheduleWarm();
+  }
+}
+
+void ServerRegistry::ScheduleWarm()
+{
+  mProcess.timers.At(std::chrono::steady_clock::now() + kWarmPace, [this] {
+    if (const auto server = mWarmQueue.front().lock()) {
+      server->Warm();
+    }
+    mWarmQueue.pop_front();
+    if (!mWarmQueue.empty()) {
+      ScheduleWarm();
+    }
+  });
+}
+
 void ServerRegistry::NoteChanged(const ServerId& aServer)
 {
   mChanges.OnChanged(aServer);
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -100,6 +100,7 @@
                                           Process().shares.Divisor(),
                                           now)) {
       Process().metrics.Add(process::Counter::RepeatsDenied);
+      ++mDenied;
       mExhausted = mRunning.empty();
       return false;
     }
@@ -295,7 +296,12 @@
           { "version", static_cast<std::int64_t>(mRequest.version) },
           { "status", static_cast<std::int64_t>(aReply.status) },
           { "cause", aCause },
+          { "group", mGroup.name },
           { "sends", static_cast<std::int64_t>(mSends) },
+          { "max_attempts",
+            static_cast<std::int64_t>(mRequest.route->maxAttempts) },
+          { "idempotent", Idempotent() },
+          { "repeats_denied", static_cast<std::int64_t>(mDenied) },
           { "took_ms", Milliseconds(took) } });
     }
     Stop(false);
@@ -325,6 +331,7 @@
   std::optional<CallerReply> mFailure;
   unsigned mSlots = 0;
   unsigned mSends = 0;
+  unsigned mDenied = 0;
   /// Attempts that no proof excludes from having run.
   unsigned mMayHaveRun = 0;
   /// Attempts that have reached a server, refused ones included.
--- /dev/null
+++ b/tests/gateway/backend_server_test.cpp
@@ -0,0 +1,71 @@
+#include "support.hpp"
+
+#include <gtest/gtest.h>
+
+namespace bronzedeal::gateway::test {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+std::shared_ptr<ServerRequest> MakeRequest()
+{
+  auto request = std::make_shared<ServerRequest>();
+  request->head = "GET /a HTTP/1.1\r\nHost: shop.example\r\n";
+  request->deadline = steady_clock::now() + std::chrono::seconds(5);
+  return request;
+}
+
+ServerRecord MakeRecord(const tcp::endpoint& aAddress)
+{
+  ServerRecord record;
+  record.id = "s-0";
+  record.group = "g0";
+  record.address = aAddress;
+  record.failureDomain = "fd-a";
+  record.slots = 2;
+  return record;
+}
+
+} // namespace
+
+// Guards against the first queries over a new set of shards all waiting for
+// connections (gaonsan-hide-grown, scale-1, seconds 6 to 8).
+TEST(BackendServer, OpensAConnectionAheadOfRequests)
+{
+  World world;
+  ScriptedServer server(world.process.context,
+                        [](auto&) { return Reaction{}; });
+  world.AddServer("s-0", "g0", server.Address());
+  world.RunUntil([&] { return server.Connections() == 1; });
+  EXPECT_EQ(server.Connections(), 1U);
+  world.servers.WarmAll();
+  const auto later = steady_clock::now() + milliseconds(50);
+  world.RunUntil([&] { return steady_clock::now() >= later; });
+  EXPECT_EQ(server.Connections(), 1U);
+  EXPECT_TRUE(server.Requests().empty());
+}
+
+// Guards against a server that was full getting the same requests again at once
+// until the repeats of its group are spent.
+TEST(BackendServer, IsLeftAloneForAMomentWhenItWasFull)
+{
+  World world;
+  ScriptedServer server(world.process.context, [](auto&) {
+    return Reaction{ Response(503, "X-Not-Run: 1\r\n", "") };
+  });
+  const auto backend = std::make_shared<BackendServer>(
+    world.process, MakeRecord(server.Address()));
+  backend->SetConnectionShare(10);
+  EXPECT_TRUE(backend->Usable(steady_clock::now()));
+  bool refused = false;
+  backend->Send(MakeRequest(), [&](auto, AttemptFault aFault, auto*) {
+    refused = aFault == AttemptFault::Refused;
+  });
+  world.RunUntil([&] { return refused; });
+  const auto now = steady_clock::now();
+  EXPECT_FALSE(backend->Usable(now));
+  EXPECT_TRUE(backend->Usable(now + milliseconds(100)));
+}
+
+} // namespace bronzedeal::gateway::test
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -204,6 +204,19 @@
   EXPECT_GT(idle.Divisor(), 2U);
 }
 
+// Guards against 61 instances that start together each taking the whole of a
+// limit before they have heard of the others (35,035 connections reset after a
+// loss of power, gaonsan-hide-grown, trouble-2).
+TEST(FleetShares, TakesASmallShareUntilTheFleetIsKnown)
+{
+  FleetShares shares("a");
+  EXPECT_FALSE(shares.Serving());
+  EXPECT_GE(shares.Divisor(), 12U);
+  shares.Update({ "a" }, At(0));
+  EXPECT_TRUE(shares.Serving());
+  EXPECT_EQ(shares.Divisor(), 1U);
+}
+
 // Guards against two instances with the same place in the order of a server.
 TEST(FleetShares, RanksServingInstancesWithoutTies)
 {
@@ -247,6 +260,20 @@
   }
 }
 
+// Guards against a started instance that waits for rounds of gossip until it
+// knows the fleet: it is answered at once, and only the first time.
+TEST(PeerTable, TellsNewcomers)
+{
+  PeerTable table(Peer(1), PeerTable::Options{});
+  EXPECT_TRUE(table.IsNewcomer(Peer(2)));
+  EXPECT_FALSE(table.IsNewcomer(Peer(1)));
+  table.Merge({ Peer(2) }, At(0));
+  EXPECT_FALSE(table.IsNewcomer(Peer(2)));
+  auto restarted = Peer(2);
+  ++restarted.incarnation;
+  EXPECT_TRUE(table.IsNewcomer(restarted));
+}
+
 // Guards against a datagram of another sender or version being half applied.
 TEST(PeerTable, RefusesDatagramsThatAreNotWellFormed)
 {
--- a/tests/gateway/support.hpp
+++ b/tests/gateway/support.hpp
@@ -148,6 +148,9 @@
     , servers(process)
     , gateway(process, servers)
   {
+    // A fleet of one, which is known.
+    process.shares.Update({ process.settings.instance },
+                          std::chrono::steady_clock::now());
   }
 
   static Settings MakeSettings()
