Pass operators' entries on between instances, too

Cause: with the servers passed on, most of the store's calls were those for the operators' entries: 55 of 61 instances each watched them, and took each version of a storm from the store.

Change: MetadataRelay serves both topics. A configuration crosses only to an instance that has an older one; withdrawals are sent whole, with those that were taken back. Route tables travel as described structs through boost.json.

Ruled out: longer watches alone (the storms cost more than the quiet times).

What is left are starts, and calls while the store is away.

--- a/include/bronzedeal/gateway/gateway.hpp
+++ b/include/bronzedeal/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "bronzedeal/gateway/exchange.hpp"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -17,6 +18,9 @@
   /// Puts a version in force; false when it isn't higher than the present one.
   bool Accept(RouteConfig aConfig);
 
+  /// Called after each version that has been put in force.
+  void OnAccept(std::function<void()> aHandler);
+
   /// The version in force; null before the first.
   [[nodiscard]] const std::shared_ptr<const RouteTable>& Table() const noexcept
   {
@@ -44,6 +48,7 @@
   RouteLatency mLatency;
   PeerPool mPeers;
   std::shared_ptr<const RouteTable> mTable;
+  std::function<void()> mOnAccept;
   /// What each target of a weighted route is owed (smooth round robin).
   std::unordered_map<std::string, std::unordered_map<std::string, double>>
     mCredits;
--- a/include/bronzedeal/gateway/metadata_follower.hpp
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -55,7 +55,6 @@
   void OnFailure(const MetadataReply& aReply);
   void OnContact();
   void After(Duration aDelay, void (MetadataFollower::*aStep)());
-  [[nodiscard]] std::string_view TopicName() const noexcept;
   [[nodiscard]] milliseconds Wait() const;
   [[nodiscard]] Duration Pace(bool aRelayed, bool aGrowing) const;
 
--- a/include/bronzedeal/gateway/metadata_source.hpp
+++ b/include/bronzedeal/gateway/metadata_source.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -19,6 +20,12 @@
   Operators,
 };
 
+/// For logs.
+[[nodiscard]] constexpr std::string_view Name(Topic aTopic) noexcept
+{
+  return aTopic == Topic::Servers ? "servers" : "operators";
+}
+
 struct ServerChanged
 {
   ServerRecord record;
--- a/include/bronzedeal/gateway/relay_message.hpp
+++ b/include/bronzedeal/gateway/relay_message.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bronzedeal/gateway/http_message.hpp"
-#include "bronzedeal/gateway/server_record.hpp"
+#include "bronzedeal/gateway/metadata_source.hpp"
 
 #include <optional>
 #include <string>
@@ -9,24 +9,34 @@
 
 namespace bronzedeal::gateway {
 
-/// An instance's question for the servers as another instance knows them.
+/// An instance's question for what another instance has read of the metadata
+/// service.
 struct RelayQuery
 {
-  /// Run of the asked instance that `after` belongs to; 0 asks for all servers.
+  Topic topic = Topic::Servers;
+  /// Run of the asked instance that `after` belongs to; 0 asks for everything.
   Incarnation epoch = 0;
   /// Sequence of that run up to which the changes are known.
   std::uint64_t after = 0;
+  /// Configuration that needn't be sent again.
+  ConfigVersion version = 0;
   /// How long the answer may wait for a change.
   milliseconds wait{ 0 };
 };
 
-/// The servers that have changed, or all.
+/// What has changed, or everything.
 struct RelayReply
 {
   Incarnation epoch = 0;
   std::uint64_t sequence = 0;
   std::vector<ServerRecord> servers;
   std::vector<ServerId> removed;
+  /// Present when the asking instance has an older one.
+  std::optional<RouteConfig> config;
+  /// All failure domains that operators have taken out, and those of them that
+  /// are in use again.
+  std::vector<FailureDomain> withdrawn;
+  std::vector<FailureDomain> restored;
 };
 
 /// The bytes of a request from instance to instance.
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -92,7 +92,7 @@
     return mChanges;
   }
 
-  /// Called after each change of `Changes`.
+  /// Called after each change of `Changes` or `Withdrawn`.
   void OnChange(std::function<void()> aHandler);
   [[nodiscard]] std::size_t size() const noexcept { return mById.size(); }
 
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -4,9 +4,9 @@
 #include "bronzedeal/gateway/caller_listener.hpp"
 #include "bronzedeal/gateway/gateway.hpp"
 #include "bronzedeal/gateway/metadata_follower.hpp"
+#include "bronzedeal/gateway/metadata_relay.hpp"
 #include "bronzedeal/gateway/peer_gossip.hpp"
 #include "bronzedeal/gateway/relayed_source.hpp"
-#include "bronzedeal/gateway/server_relay.hpp"
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
@@ -46,16 +46,15 @@
     , servers(process)
     , gateway(process, servers)
     , metadata(platform.OpenMetadata(process.context, process.settings))
-    , serverSource(process, *metadata)
+    , serverSource(process, *metadata, Topic::Servers)
+    , operatorSource(process, *metadata, Topic::Operators)
     , serverFollower(process, gateway, servers, serverSource, Topic::Servers)
-    , operatorFollower(process, gateway, servers, *metadata, Topic::Operators)
-    , relay(process,
-            servers,
-            [this] {
-              return serverSource.Direct() && Ready() && !serverFollower.Away()
-                       ? std::optional(serverFollower.LastContact())
-                       : std::nullopt;
-            })
+    , operatorFollower(process,
+                       gateway,
+                       servers,
+                       operatorSource,
+                       Topic::Operators)
+    , relay(process, servers, gateway, [this] { return LastContact(); })
     , gossip(process, [this] { UpdateShares(); })
     , callers(process,
               process.settings.callers,
@@ -85,6 +84,7 @@
     , signals(process.context, SIGTERM, SIGINT, SIGHUP)
   {
     servers.OnChange([this] { relay.OnChange(); });
+    gateway.OnAccept([this] { relay.OnChange(); });
     if (process.settings.metrics) {
       metrics = std::make_unique<CallerListener>(
         process,
@@ -160,6 +160,16 @@
     return platform.EncodeAddresses(picked, process.settings.addressTtl);
   }
 
+  /// When the service last answered, if this instance reads it itself. The
+  /// servers' topic tells, since it is never quiet for long.
+  [[nodiscard]] std::optional<TimePoint> LastContact() const
+  {
+    const bool reads = serverSource.Direct() && operatorSource.Direct() &&
+                       !serverFollower.Away() && !operatorFollower.Away();
+    return reads && Ready() ? std::optional(serverFollower.LastContact())
+                            : std::nullopt;
+  }
+
   void UpdateSelf()
   {
     auto& self = process.peers.Self();
@@ -239,8 +249,8 @@
     }
   }
 
-  /// The instances that callers are sent to read the servers from the service;
-  /// the others from one of those in their failure domain.
+  /// The instances that callers are sent to read the service; the others ask
+  /// one of those in their failure domain.
   void UpdateRelays(const std::vector<InstanceId>& aServing, TimePoint aNow)
   {
     const auto serves = [&](const InstanceId& aInstance) {
@@ -257,6 +267,7 @@
       }
     }
     serverSource.SetRelays(relays);
+    operatorSource.SetRelays(relays);
   }
 
   double Locality(const FailureDomain& aDomain, TimePoint aNow)
@@ -407,9 +418,10 @@
   Gateway gateway;
   std::unique_ptr<MetadataSource> metadata;
   RelayedSource serverSource;
+  RelayedSource operatorSource;
   MetadataFollower serverFollower;
   MetadataFollower operatorFollower;
-  ServerRelay relay;
+  MetadataRelay relay;
   PeerGossip gossip;
   CallerListener callers;
   CallerListener readiness;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,9 +35,17 @@
   mTable = std::make_shared<const RouteTable>(std::move(aConfig));
   mCredits.clear();
   OnFleetChange();
+  if (mOnAccept) {
+    mOnAccept();
+  }
   return true;
 }
 
+void Gateway::OnAccept(std::function<void()> aHandler)
+{
+  mOnAccept = std::move(aHandler);
+}
+
 void Gateway::OnFleetChange()
 {
   if (mTable) {
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -77,11 +77,6 @@
 {
 }
 
-std::string_view MetadataFollower::TopicName() const noexcept
-{
-  return mTopic == Topic::Servers ? "servers" : "operators";
-}
-
 Duration MetadataFollower::Pace(bool aRelayed, bool aGrowing) const
 {
   const bool serving = mProcess.shares.Serving();
@@ -202,7 +197,7 @@
     mGrowthUntil = steady_clock::now() + kLapseGrace;
     mProcess.log.Write(
       "metadata_synchronized",
-      { { "topic", TopicName() },
+      { { "topic", Name(mTopic) },
         { "revision", static_cast<std::int64_t>(mRevision) } });
   }
   mSynchronized = true;
@@ -230,7 +225,7 @@
     case MetadataStatus::HistoryGone:
       mProcess.log.Write(
         "metadata_history_gone",
-        { { "topic", TopicName() },
+        { { "topic", Name(mTopic) },
           { "revision", static_cast<std::int64_t>(mRevision) } });
       OnContact();
       ListPage();
@@ -259,7 +254,7 @@
   if (behind) {
     mProcess.log.Write(
       "metadata_behind",
-      { { "topic", TopicName() },
+      { { "topic", Name(mTopic) },
         { "changes", static_cast<std::int64_t>(aReply.changes.size()) },
         { "revision", static_cast<std::int64_t>(mRevision) } });
   }
@@ -337,7 +332,7 @@
     mAwaySince = mLastContact;
     mProcess.log.Write(
       "metadata_lost",
-      { { "topic", TopicName() }, { "detail", aReply.detail } });
+      { { "topic", Name(mTopic) }, { "detail", aReply.detail } });
   }
 }
 
@@ -353,7 +348,7 @@
   const auto away = now - mAwaySince;
   mProcess.log.Write(
     "metadata_regained",
-    { { "topic", TopicName() }, { "away_ms", Milliseconds(away) } });
+    { { "topic", Name(mTopic) }, { "away_ms", Milliseconds(away) } });
   if (away >= kLapseAfter) {
     mLapseUntil = now + kLapseGrace;
     mGrowthUntil = mLapseUntil;
--- a/src/gateway/relay_message.cpp
+++ b/src/gateway/relay_message.cpp
@@ -1,5 +1,7 @@
 #include "bronzedeal/gateway/relay_message.hpp"
 
+#include "bronzedeal/gateway/route_codec.hpp"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -13,8 +15,9 @@
 
 namespace {
 
-/// Header between instances: epoch, sequence and wait in milliseconds.
-constexpr const char* kAfter = "X-Bronzedeal-Servers-After";
+/// Header between instances: topic, epoch, sequence, version and wait in
+/// milliseconds.
+constexpr const char* kAfter = "X-Bronzedeal-Metadata-After";
 
 std::optional<std::uint64_t> TakeNumber(std::string_view& aText)
 {
@@ -61,28 +64,56 @@
   return record;
 }
 
+json::array EncodeNames(const std::vector<std::string>& aNames)
+{
+  json::array names;
+  for (const auto& it : aNames) {
+    names.emplace_back(it);
+  }
+  return names;
+}
+
+/// Throws when it is no list of texts.
+std::vector<std::string> DecodeNames(const json::value& aValue)
+{
+  std::vector<std::string> names;
+  for (const auto& it : aValue.as_array()) {
+    names.emplace_back(it.as_string());
+  }
+  return names;
+}
+
 } // namespace
 
 std::string EncodeRelayQuery(const RelayQuery& aQuery)
 {
-  return fmt::format("GET /servers HTTP/1.1\r\nHost: instance\r\n"
-                     "{}: {} {} {}\r\n\r\n",
+  return fmt::format("GET /metadata HTTP/1.1\r\nHost: instance\r\n"
+                     "{}: {} {} {} {} {}\r\n\r\n",
                      kAfter,
+                     aQuery.topic == Topic::Servers ? 0 : 1,
                      aQuery.epoch,
                      aQuery.after,
+                     aQuery.version,
                      aQuery.wait.count());
 }
 
 std::optional<RelayQuery> DecodeRelayQuery(const RequestMessage& aRequest)
 {
   std::string_view text(aRequest[kAfter]);
+  const auto topic = TakeNumber(text);
   const auto epoch = TakeNumber(text);
   const auto after = TakeNumber(text);
+  const auto version = TakeNumber(text);
   const auto wait = TakeNumber(text);
-  if (!epoch || !after || !wait || !text.empty()) {
+  if (!topic || *topic > 1 || !epoch || !after || !version || !wait ||
+      !text.empty()) {
     return std::nullopt;
   }
-  return RelayQuery{ *epoch, *after, milliseconds(*wait) };
+  return RelayQuery{ *topic == 0 ? Topic::Servers : Topic::Operators,
+                     *epoch,
+                     *after,
+                     *version,
+                     milliseconds(*wait) };
 }
 
 std::string EncodeRelayReply(const RelayReply& aReply)
@@ -92,11 +123,16 @@
   for (const auto& it : aReply.servers) {
     servers.push_back(EncodeServer(it));
   }
-  return json::serialize(json::object{
-    { "epoch", aReply.epoch },
-    { "sequence", aReply.sequence },
-    { "servers", std::move(servers) },
-    { "removed", json::array(aReply.removed.begin(), aReply.removed.end()) } });
+  json::object root{ { "epoch", aReply.epoch },
+                     { "sequence", aReply.sequence },
+                     { "servers", std::move(servers) },
+                     { "removed", EncodeNames(aReply.removed) },
+                     { "withdrawn", EncodeNames(aReply.withdrawn) },
+                     { "restored", EncodeNames(aReply.restored) } };
+  if (aReply.config) {
+    root["config"] = EncodeRouteConfig(*aReply.config);
+  }
+  return json::serialize(root);
 }
 
 std::optional<RelayReply> DecodeRelayReply(std::string_view aText)
@@ -109,8 +145,11 @@
     for (const auto& it : root.at("servers").as_array()) {
       reply.servers.push_back(DecodeServer(it.as_array()));
     }
-    for (const auto& it : root.at("removed").as_array()) {
-      reply.removed.emplace_back(it.as_string());
+    reply.removed = DecodeNames(root.at("removed"));
+    reply.withdrawn = DecodeNames(root.at("withdrawn"));
+    reply.restored = DecodeNames(root.at("restored"));
+    if (const auto* config = root.if_contains("config")) {
+      reply.config = DecodeRouteConfig(*config);
     }
     return reply;
   } catch (const std::exception&) {
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// Largest answer of an instance: 6,000 servers of about 120 bytes.
+/// Largest answer of an instance: 6,000 servers of about 120 bytes, or a
+/// configuration of a megabyte.
 constexpr std::size_t kMaxReplyBytes = std::size_t{ 4 } << 20;
 /// Within a failure domain a connection opens within a millisecond or two.
 constexpr auto kConnectTimeout = milliseconds(300);
@@ -32,9 +33,12 @@
   TimerQueue::Handle timeout;
 };
 
-RelayedSource::RelayedSource(Process& aProcess, MetadataSource& aService)
+RelayedSource::RelayedSource(Process& aProcess,
+                             MetadataSource& aService,
+                             Topic aTopic)
   : mProcess(aProcess)
   , mService(aService)
+  , mTopic(aTopic)
 {
 }
 
@@ -81,11 +85,13 @@
   if (aRelay == mCurrent) {
     return;
   }
-  mProcess.log.Write("servers_read_from",
-                     { { "former", mCurrent.value_or("service") },
+  mProcess.log.Write("metadata_read_from",
+                     { { "topic", Name(mTopic) },
+                       { "former", mCurrent.value_or("service") },
                        { "source", aRelay.value_or("service") } });
   mCurrent = std::move(aRelay);
   mEpoch = 0;
+  mVersion = 0;
   if (mConnection) {
     std::exchange(mConnection, nullptr)->Close();
   }
@@ -103,7 +109,8 @@
     mService.List(aTopic, aPage, aTimeout, std::move(aHandler));
     return;
   }
-  Ask(RelayQuery{}, aTimeout, std::move(aHandler));
+  mVersion = 0;
+  Ask(RelayQuery{ mTopic }, aTimeout, std::move(aHandler));
 }
 
 void RelayedSource::Watch(Topic aTopic,
@@ -125,7 +132,7 @@
   const auto longest = std::chrono::duration_cast<milliseconds>(
     kMaxWait * std::chrono::duration<double>(mProcess.settings.drainBound));
   const auto wait = std::min(aWait, longest);
-  Ask(RelayQuery{ mEpoch, aRevision, wait },
+  Ask(RelayQuery{ mTopic, mEpoch, aRevision, mVersion, wait },
       wait + kReplySlack,
       std::move(aHandler));
 }
@@ -186,6 +193,35 @@
                     });
 }
 
+MetadataReply RelayedSource::ToReply(RelayReply aReply)
+{
+  mEpoch = aReply.epoch;
+  MetadataReply reply;
+  reply.status = MetadataStatus::Ok;
+  reply.relayed = true;
+  reply.revision = aReply.sequence;
+  const auto add = [&](Change aChange) {
+    reply.changes.push_back({ aReply.sequence, std::move(aChange) });
+  };
+  for (auto& it : aReply.servers) {
+    add(ServerChanged{ std::move(it) });
+  }
+  for (auto& it : aReply.removed) {
+    add(ServerGone{ std::move(it) });
+  }
+  if (aReply.config) {
+    mVersion = aReply.config->version;
+    add(ConfigPublished{ std::move(*aReply.config) });
+  }
+  for (auto& it : aReply.withdrawn) {
+    add(DomainWithdrawn{ std::move(it), true });
+  }
+  for (auto& it : aReply.restored) {
+    add(DomainWithdrawn{ std::move(it), false });
+  }
+  return reply;
+}
+
 void RelayedSource::OnResponse(const std::shared_ptr<Call>& aCall,
                                const ResponseMessage& aResponse)
 {
@@ -200,18 +236,7 @@
       Fail(aCall, aResponse.result_int() == 200 ? "unreadable" : "refused");
       return;
     }
-    mEpoch = decoded->epoch;
-    reply.status = MetadataStatus::Ok;
-    reply.relayed = true;
-    reply.revision = decoded->sequence;
-    for (auto& it : decoded->servers) {
-      reply.changes.push_back(
-        { decoded->sequence, ServerChanged{ std::move(it) } });
-    }
-    for (auto& it : decoded->removed) {
-      reply.changes.push_back(
-        { decoded->sequence, ServerGone{ std::move(it) } });
-    }
+    reply = ToReply(std::move(*decoded));
   }
   mProcess.timers.Cancel(aCall->timeout);
   std::exchange(aCall->handler, nullptr)(std::move(reply));
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -145,6 +145,9 @@
   if (changed) {
     mProcess.log.Write("domain_withdrawn",
                        { { "domain", aDomain }, { "withdrawn", aWithdrawn } });
+    if (mOnChange) {
+      mOnChange();
+    }
   }
   if (!changed || !aWithdrawn) {
     return;
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -1,8 +1,8 @@
 #include "support.hpp"
 
 #include "bronzedeal/gateway/caller_listener.hpp"
+#include "bronzedeal/gateway/metadata_relay.hpp"
 #include "bronzedeal/gateway/relayed_source.hpp"
-#include "bronzedeal/gateway/server_relay.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -32,7 +32,10 @@
 struct Relaying
 {
   Relaying()
-    : relay(reader.process, reader.servers, [this] { return contact; })
+    : relay(reader.process,
+            reader.servers,
+            reader.gateway,
+            [this] { return contact; })
     , listener(reader.process,
                { asio::ip::address_v4::loopback(), 0 },
                [this](const CallerRequest& aRequest,
@@ -45,7 +48,8 @@
                  return query ? relay.Handle(*query, std::move(aReply))
                               : nullptr;
                })
-    , source(follower.process, service)
+    , source(follower.process, service, Topic::Servers)
+    , operators(follower.process, service, Topic::Operators)
   {
     reader.servers.OnChange([this] { relay.OnChange(); });
     follower.process.settings.gossip.port(listener.Address().port());
@@ -53,6 +57,8 @@
     state.address = asio::ip::address_v4::loopback();
     state.instance = "gw-reader";
     source.SetRelays({ state });
+    operators.SetRelays({ state });
+    reader.gateway.OnAccept([this] { relay.OnChange(); });
   }
 
   /// Runs both instances until the condition holds.
@@ -94,10 +100,11 @@
   std::optional<TimePoint> contact = steady_clock::now();
   bool silent = false;
   std::vector<ReplyHandler> held;
-  ServerRelay relay;
+  MetadataRelay relay;
   CallerListener listener;
   CountingService service;
   RelayedSource source;
+  RelayedSource operators;
 };
 
 const tcp::endpoint kNowhere{ asio::ip::address_v4::loopback(), 9 };
@@ -159,8 +166,14 @@
   record.draining = true;
   record.coldLeft = milliseconds(1200);
   record.startedAtMs = 1'784'733'522'000;
-  const auto reply =
-    DecodeRelayReply(EncodeRelayReply({ 7, 12, { record }, { "i-0" } }));
+  RelayReply sent;
+  sent.epoch = 7;
+  sent.sequence = 12;
+  sent.servers = { record };
+  sent.removed = { "i-0" };
+  sent.withdrawn = { "fd-a" };
+  sent.restored = { "fd-c" };
+  const auto reply = DecodeRelayReply(EncodeRelayReply(sent));
   ASSERT_TRUE(reply && reply->servers.size() == 1);
   EXPECT_EQ(reply->epoch, 7U);
   EXPECT_EQ(reply->sequence, 12U);
@@ -174,6 +187,45 @@
   EXPECT_TRUE(server.draining);
   EXPECT_EQ(server.coldLeft, record.coldLeft);
   EXPECT_EQ(server.startedAtMs, record.startedAtMs);
+  EXPECT_EQ(reply->withdrawn, sent.withdrawn);
+  EXPECT_EQ(reply->restored, sent.restored);
+  EXPECT_FALSE(reply->config.has_value());
+}
+
+// Guards against a configuration that changes on its way between instances.
+TEST(RelayMessage, KeepsAConfiguration)
+{
+  RouteConfig config;
+  config.version = 9;
+  auto one = World::SingleRoute(Repeatability::AtMostOnce);
+  one.targets.push_back({ "g1", 0.25 });
+  auto all = World::FanoutRoute({ "g2", "g3" }, 0.89);
+  all.priority = 2;
+  config.routes = { one, all };
+  config.groups = { { "g0", 52, 1.5 } };
+  config.limits.idleTimeout = milliseconds(7000);
+  RelayReply sent;
+  sent.config = config;
+  const auto reply = DecodeRelayReply(EncodeRelayReply(sent));
+  ASSERT_TRUE(reply && reply->config);
+  const auto& got = *reply->config;
+  EXPECT_EQ(got.version, 9U);
+  ASSERT_EQ(got.routes.size(), 2U);
+  EXPECT_EQ(got.routes[0].repeatability, Repeatability::AtMostOnce);
+  ASSERT_EQ(got.routes[0].targets.size(), 2U);
+  EXPECT_DOUBLE_EQ(got.routes[0].targets[1].weight, 0.25);
+  EXPECT_EQ(got.routes[0].timeout, one.timeout);
+  EXPECT_EQ(got.routes[0].prefix, one.prefix);
+  EXPECT_EQ(got.routes[0].host, one.host);
+  EXPECT_EQ(got.routes[1].shards, all.shards);
+  EXPECT_EQ(got.routes[1].topRecords, all.topRecords);
+  EXPECT_DOUBLE_EQ(got.routes[1].minCoverage, 0.89);
+  EXPECT_EQ(got.routes[1].priority, 2U);
+  EXPECT_EQ(got.routes[1].maxAttempts, all.maxAttempts);
+  EXPECT_EQ(got.routes[1].objective, all.objective);
+  EXPECT_EQ(got.groups[0].maxConnections, 52U);
+  EXPECT_DOUBLE_EQ(got.groups[0].warmupRate, 1.5);
+  EXPECT_EQ(got.limits.idleTimeout, milliseconds(7000));
 }
 
 // Guards against nonsense from a peer being taken for an empty list.
@@ -181,9 +233,14 @@
 {
   EXPECT_FALSE(DecodeRelayReply("{}").has_value());
   EXPECT_FALSE(DecodeRelayReply("[1").has_value());
-  EXPECT_FALSE(DecodeRelayReply(
-                 R"({"epoch":1,"sequence":2,"servers":[["i-1"]],"removed":[]})")
-                 .has_value());
+  const auto decoded = [&](std::string aStart) {
+    return DecodeRelayReply(std::move(aStart) +
+                            R"("removed":[],"withdrawn":[],"restored":[]})")
+      .has_value();
+  };
+  EXPECT_TRUE(decoded(R"({"epoch":1,"sequence":2,"servers":[],)"));
+  EXPECT_FALSE(decoded(R"({"epoch":1,"sequence":2,"servers":[["i-1"]],)"));
+  EXPECT_FALSE(decoded(R"({"epoch":1,"sequence":2,"servers":[],"config":{},)"));
 }
 
 // Guards against all instances reading the service: a list and the change after
@@ -209,6 +266,46 @@
   EXPECT_EQ(world.service.lists + world.service.watches, 0);
 }
 
+// Guards against a withdrawal or a version that doesn't reach the instances
+// that don't read the service, or one that is sent again and again.
+TEST(Relay, PassesOnConfigurationsAndWithdrawals)
+{
+  Relaying world;
+  world.reader.Publish({ World::SingleRoute(Repeatability::Idempotent) });
+  const auto now = steady_clock::now();
+  std::optional<MetadataReply> reply;
+  const auto take = [&](MetadataReply aReply) { reply = std::move(aReply); };
+  world.operators.List(Topic::Operators, "", milliseconds(500), take);
+  world.RunUntil([&] { return reply.has_value(); });
+  ASSERT_TRUE(reply && reply->changes.size() == 1);
+  EXPECT_TRUE(
+    std::holds_alternative<ConfigPublished>(reply->changes.front().change));
+
+  const auto watch = [&] {
+    const auto revision = reply->revision;
+    reply.reset();
+    world.operators.Watch(
+      Topic::Operators, revision, milliseconds(900), milliseconds(1300), take);
+  };
+  watch();
+  world.reader.servers.SetWithdrawn("fd-b", true);
+  world.RunUntil([&] { return reply.has_value(); });
+  ASSERT_TRUE(reply && reply->changes.size() == 1);
+  const auto* out =
+    std::get_if<DomainWithdrawn>(&reply->changes.front().change);
+  ASSERT_NE(out, nullptr);
+  EXPECT_TRUE(out->withdrawn);
+
+  watch();
+  world.reader.servers.SetWithdrawn("fd-b", false);
+  world.RunUntil([&] { return reply.has_value(); });
+  ASSERT_TRUE(reply && reply->changes.size() == 1);
+  out = std::get_if<DomainWithdrawn>(&reply->changes.front().change);
+  ASSERT_NE(out, nullptr);
+  EXPECT_FALSE(out->withdrawn);
+  EXPECT_LT(steady_clock::now() - now, milliseconds(900));
+}
+
 // Guards against an instance that has lost the service passing on old servers:
 // the follower reads the service itself.
 TEST(Relay, RefusesWhatMayBeOutOfDate)
