Back off longer from a silent store where no callers are sent

Change: instances that callers aren't sent to back off up to 2 s (3 s with jitter), below the 4 s for which a returned store counts as disturbed.

Ruled out: the same for serving instances, whose return to service it would delay.

--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -47,6 +47,8 @@
 /// After a failed call; doubles up to the maximum, with jitter.
 constexpr auto kMinBackoff = milliseconds(100);
 constexpr auto kMaxBackoff = milliseconds(800);
+/// The same for an instance that callers aren't sent to.
+constexpr auto kIdleMaxBackoff = milliseconds(2000);
 /// Servers whose entries lapsed while the service was away register again
 /// within about two seconds.
 constexpr auto kLapseGrace = milliseconds(2300);
@@ -326,7 +328,10 @@
 
 void MetadataFollower::OnFailure(const MetadataReply& aReply)
 {
-  mBackoff = std::clamp<Duration>(mBackoff * 2, kMinBackoff, kMaxBackoff);
+  mBackoff = std::clamp<Duration>(mBackoff * 2,
+                                  kMinBackoff,
+                                  mProcess.shares.Serving() ? kMaxBackoff
+                                                            : kIdleMaxBackoff);
   if (!mAway) {
     mAway = true;
     mAwaySince = mLastContact;
