Count a cold server's requests in sliding windows; refuse without time

Windows of 2.1 s used 29% of the bound. A caller's try with less than 30 ms left was sent to all shards and answered 504 at once, though it could not succeed.

Change: a sliding window of 1.25 s, 0.8 of the bound shared out. A fan-out with too little time left is refused before anything is sent.

--- a/include/bronzedeal/gateway/cold_allowance.hpp
+++ b/include/bronzedeal/gateway/cold_allowance.hpp
@@ -2,6 +2,8 @@
 
 #include "bronzedeal/types.hpp"
 
+#include <deque>
+
 namespace bronzedeal::gateway {
 
 /// Bound on the requests that reach a cold server in one second, from all
@@ -17,22 +19,22 @@
 ///
 /// Instances are ranked for each server by a hash of both ids. When the bound
 /// is smaller than the number of instances, only the first ones may send, one
-/// request in each second; otherwise each has an equal share.
+/// request in a window; otherwise each has an equal share.
 class ColdAllowance
 {
 public:
-  /// Takes one send; false when the share of this second is used or zero.
+  /// Takes one send; false when the share of the window is used or zero.
   [[nodiscard]] bool TryTake(const ColdLimits& aLimits,
                              unsigned aRank,
                              unsigned aInstances,
                              TimePoint aNow);
 
 private:
-  TimePoint mWindow{};
-  unsigned mUsed = 0;
+  /// Times of the sends within the window, oldest first.
+  std::deque<TimePoint> mTaken;
 };
 
-/// Sends per second of the instance with this rank.
+/// Sends per window of the instance with this rank.
 [[nodiscard]] unsigned ColdShare(const ColdLimits& aLimits,
                                  unsigned aRank,
                                  unsigned aInstances) noexcept;
--- a/src/gateway/cold_allowance.cpp
+++ b/src/gateway/cold_allowance.cpp
@@ -8,10 +8,10 @@
 
 /// Part of the bound that is shared out; the rest covers instances whose views
 /// of the fleet differ for a moment.
-constexpr double kSharedOut = 0.6;
-/// A window's sends may be delayed on their way; windows are longer than the
-/// second of the bound so that two of them don't fall into one.
-constexpr auto kWindow = milliseconds(2100);
+constexpr double kSharedOut = 0.8;
+/// An instance's sends within any such time are its share. Longer than the
+/// second of the bound, since a send may wait a little for a connection.
+constexpr auto kWindow = milliseconds(1250);
 
 } // namespace
 
@@ -33,14 +33,13 @@
                             unsigned aInstances,
                             TimePoint aNow)
 {
-  if (aNow - mWindow >= kWindow) {
-    mWindow = aNow;
-    mUsed = 0;
+  while (!mTaken.empty() && aNow - mTaken.front() >= kWindow) {
+    mTaken.pop_front();
   }
-  if (mUsed >= ColdShare(aLimits, aRank, aInstances)) {
+  if (mTaken.size() >= ColdShare(aLimits, aRank, aInstances)) {
     return false;
   }
-  ++mUsed;
+  mTaken.push_back(aNow);
   return true;
 }
 
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -106,7 +106,11 @@
   {
     const auto now = steady_clock::now();
     if (Reachable(now) < mNeeded) {
-      Refuse();
+      Refuse("too few shards have a server", "no_servers");
+      return;
+    }
+    if (now >= mRequest.deadline - kAnswerMargin) {
+      Refuse("too little time is left", "no_time");
       return;
     }
     mStarting = true;
@@ -198,11 +202,11 @@
       }));
   }
 
-  void Refuse()
+  /// Nothing has been sent.
+  void Refuse(std::string_view aReason, std::string_view aCause)
   {
     Process().metrics.Add(process::Counter::QueriesRefused);
-    Finish(RefusedReply("too few shards have a server", kRetryAfter),
-           "no_servers");
+    Finish(RefusedReply(aReason, kRetryAfter), aCause);
   }
 
   /// Sends the shard's request once more where the route, the budget and the
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -120,6 +120,23 @@
   }
 }
 
+// Guards against sends at the end of one window that meet those at the start of
+// the next one (up to twice the share within a second).
+TEST(ColdAllowance, CountsSendsInAnySecond)
+{
+  ColdLimits limits;
+  limits.rate = 40;
+  ColdAllowance allowance;
+  unsigned sent = 0;
+  EXPECT_TRUE(allowance.TryTake(limits, 0, 1, At(0)));
+  for (std::int64_t ms = 1200; ms < 2000; ms += 10) {
+    while (allowance.TryTake(limits, 0, 1, At(ms))) {
+      ++sent;
+    }
+  }
+  EXPECT_LE(sent, limits.rate * limits.overshoot + limits.slack);
+}
+
 // Guards against answers from another domain while the near server is sound,
 // and against waiting for a near server that is paused.
 TEST(ReplicaCost, PrefersTheNearServerUntilItStalls)
