Send callers to instances that reach the servers

Callers can reach the machines of the other zones.

Change: instances tell by gossip the share of the shards that they can use servers of. Callers are sent to those with nearly the coverage that routes need; when no living instance has it, to those that fell silent up to 4.5 s ago, too.

Ruled out: the needed coverage itself as the limit (servers that fail would move all callers to one instance).

Queries that were on their way when the zone was cut end late with 504.

--- a/include/bronzedeal/gateway/address_picker.hpp
+++ b/include/bronzedeal/gateway/address_picker.hpp
@@ -15,6 +15,8 @@
   double locality = 0;
   double cores = 1;
   bool ready = true;
+  /// It can reach servers of enough shards for each route.
+  bool able = true;
 };
 
 /// The instances that callers should use: those nearest to the servers, since
--- a/include/bronzedeal/gateway/peer_table.hpp
+++ b/include/bronzedeal/gateway/peer_table.hpp
@@ -30,6 +30,8 @@
   bool serving = false;
   /// It is in contact with the metadata service.
   bool informed = true;
+  /// Share of the shards, in percent, that have a server which it can use.
+  unsigned coverage = 100;
 };
 
 /// The other instances, learnt by gossip of heartbeat counters: an instance
@@ -47,6 +49,9 @@
     Duration silence = milliseconds(2000);
     /// The same for the others, which aren't in each datagram.
     Duration idleSilence = milliseconds(6000);
+    /// An instance that is silent for longer is taken for ended; below the time
+    /// for which callers may be sent to an instance that was killed (7 s).
+    Duration lostMemory = milliseconds(4500);
     /// Members in one datagram to another failure domain, the serving ones
     /// first, and to a peer of the own, where bytes cost little.
     std::size_t farDigestSize = 16;
@@ -93,6 +98,10 @@
   /// contact with the metadata service, or all when none is.
   [[nodiscard]] std::vector<PeerState> Informed(TimePoint aNow) const;
 
+  /// Instances that have fallen silent a short while ago: they may run behind a
+  /// partition.
+  [[nodiscard]] std::vector<PeerState> Lost(TimePoint aNow) const;
+
 private:
   struct Entry
   {
--- a/include/bronzedeal/gateway/route_table.hpp
+++ b/include/bronzedeal/gateway/route_table.hpp
@@ -23,6 +23,12 @@
   /// The group of that name; null when the version doesn't name it.
   [[nodiscard]] const ServerGroup* Group(std::string_view aName) const;
 
+  /// The greatest least coverage of the routes, in 0 to 1.
+  [[nodiscard]] double NeededCoverage() const noexcept
+  {
+    return mNeededCoverage;
+  }
+
   [[nodiscard]] const RouteConfig& Config() const noexcept { return mConfig; }
   [[nodiscard]] ConfigVersion Version() const noexcept
   {
@@ -31,6 +37,7 @@
 
 private:
   RouteConfig mConfig;
+  double mNeededCoverage = 0;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string_view, std::vector<const Route*>> mByHost;
   std::unordered_map<std::string_view, const ServerGroup*> mGroups;
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -102,6 +102,9 @@
                                 const FailureDomain& aDomain,
                                 TimePoint aNow);
 
+  /// Shards of the table that have a usable server, as a share of all.
+  [[nodiscard]] double Coverage(const RouteTable& aTable, TimePoint aNow);
+
 private:
   [[nodiscard]] bool MayUse(const BackendServer& aServer, TimePoint aNow) const;
   /// The usable servers by cost, least first.
@@ -110,6 +113,11 @@
     const RequestView& aRequest,
     const UsedServers& aAvoid,
     TimePoint aNow) const;
+  /// Shards of the table with a server for which the predicate holds, as a
+  /// share of all.
+  template<typename Predicate>
+  [[nodiscard]] double ShareOfShards(const RouteTable& aTable,
+                                     Predicate aUsable);
   void ApplyShare(BackendServer& aServer) const;
   void QueueWarm(const std::shared_ptr<BackendServer>& aServer);
   void ScheduleWarm();
--- a/src/gateway/address_picker.cpp
+++ b/src/gateway/address_picker.cpp
@@ -1,6 +1,7 @@
 #include "bronzedeal/gateway/address_picker.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace bronzedeal::gateway {
@@ -26,17 +27,23 @@
 /// Most addresses that a caller takes from one answer.
 constexpr std::size_t kMaxAddresses = 64;
 
+/// Leaves those for which the flag is set, unless there are none.
+void Prefer(std::vector<AddressCandidate>& aCandidates,
+            bool AddressCandidate::*aFlag)
+{
+  const auto has = [&](const AddressCandidate& aIt) { return aIt.*aFlag; };
+  if (std::any_of(aCandidates.begin(), aCandidates.end(), has)) {
+    std::erase_if(aCandidates, std::not_fn(has));
+  }
+}
+
 } // namespace
 
 std::vector<boost::asio::ip::address> PickAddresses(
   std::vector<AddressCandidate> aCandidates)
 {
-  const bool anyReady = std::any_of(aCandidates.begin(),
-                                    aCandidates.end(),
-                                    [](const auto& aIt) { return aIt.ready; });
-  if (anyReady) {
-    std::erase_if(aCandidates, [](const auto& aIt) { return !aIt.ready; });
-  }
+  Prefer(aCandidates, &AddressCandidate::ready);
+  Prefer(aCandidates, &AddressCandidate::able);
   double total = 0;
   double strongest = 0;
   double nearest = 0;
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
+#include <cmath>
 #include <csignal>
 #include <fmt/format.h>
 
@@ -33,6 +34,9 @@
 constexpr auto kSettle = milliseconds(300);
 /// Without any other instance heard of, it is alone.
 constexpr auto kAlone = milliseconds(1000);
+/// An instance with less than this part of the coverage that routes need is
+/// likely behind a partition; a little less is usual while servers fail.
+constexpr double kAbleShare = 0.85;
 /// Whether this instance is ready is told to the others this often.
 constexpr auto kReadyPoll = milliseconds(200);
 
@@ -174,6 +178,7 @@
   {
     auto& self = process.peers.Self();
     self.ready = Ready();
+    self.coverage = Coverage();
     const bool informed = !serverFollower.Away() && !operatorFollower.Away();
     if (self.informed != informed) {
       process.log.Write("informed_changed", { { "informed", informed } });
@@ -182,14 +187,29 @@
     }
   }
 
+  [[nodiscard]] bool Able(const PeerState& aState) const
+  {
+    const auto& table = gateway.Table();
+    return !table ||
+           aState.coverage >= kAbleShare * 100 * table->NeededCoverage();
+  }
+
   std::vector<boost::asio::ip::address> ServingAddresses()
   {
     const auto now = steady_clock::now();
     UpdateSelf();
+    auto states = process.peers.Informed(now);
+    if (std::none_of(states.begin(), states.end(), [this](const auto& aIt) {
+          return Able(aIt);
+        })) {
+      // This side of a partition can't serve; callers may reach the other one.
+      const auto lost = process.peers.Lost(now);
+      states.insert(states.end(), lost.begin(), lost.end());
+    }
     std::vector<AddressCandidate> candidates;
     // Worked out once for each domain: it looks at all servers.
     std::map<FailureDomain, double> localities;
-    for (const auto& it : process.peers.Informed(now)) {
+    for (const auto& it : states) {
       if (it.leaving) {
         continue;
       }
@@ -198,8 +218,8 @@
       if (isNew) {
         locality->second = Locality(it.failureDomain, now);
       }
-      candidates.push_back(
-        AddressCandidate{ it.address, locality->second, it.cores, it.ready });
+      candidates.push_back(AddressCandidate{
+        it.address, locality->second, it.cores, it.ready, Able(it) });
     }
     return PickAddresses(std::move(candidates));
   }
@@ -270,6 +290,16 @@
     operatorSource.SetRelays(relays);
   }
 
+  /// In percent.
+  [[nodiscard]] unsigned Coverage()
+  {
+    if (!gateway.Table()) {
+      return 0;
+    }
+    const auto share = servers.Coverage(*gateway.Table(), steady_clock::now());
+    return static_cast<unsigned>(std::ceil(100 * share));
+  }
+
   double Locality(const FailureDomain& aDomain, TimePoint aNow)
   {
     return gateway.Table() ? servers.Locality(*gateway.Table(), aDomain, aNow)
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -15,8 +15,8 @@
 /// docs/CAPACITY.md.
 constexpr std::size_t kMaxPeers = 4096;
 /// Members of one state in a datagram, in the order of EncodePeers.
-constexpr std::size_t kStateFields = 7;
-/// Bits of the last member.
+constexpr std::size_t kStateFields = 8;
+/// Bits of the member of flags.
 constexpr unsigned kReadyBit = 1;
 constexpr unsigned kLeavingBit = 2;
 constexpr unsigned kServingBit = 4;
@@ -163,6 +163,17 @@
   return alive;
 }
 
+std::vector<PeerState> PeerTable::Lost(TimePoint aNow) const
+{
+  std::vector<PeerState> lost;
+  for (const auto& [address, entry] : mPeers) {
+    if (!IsAlive(entry, aNow) && aNow - entry.heardAt < mOptions.lostMemory) {
+      lost.push_back(entry.state);
+    }
+  }
+  return lost;
+}
+
 std::string EncodePeers(const std::vector<PeerState>& aStates)
 {
   json::array rows;
@@ -174,7 +185,8 @@
                                 it.incarnation,
                                 it.heartbeat,
                                 it.cores,
-                                FlagsOf(it) });
+                                FlagsOf(it),
+                                it.coverage });
   }
   return json::serialize(rows);
 }
@@ -209,6 +221,7 @@
     state.incarnation = f[3].to_number<std::uint64_t>(ec);
     state.heartbeat = ec ? 0 : f[4].to_number<std::uint64_t>(ec);
     const auto flags = ec ? 0 : f[6].to_number<unsigned>(ec);
+    state.coverage = ec ? 0 : f[7].to_number<unsigned>(ec);
     if (ec) {
       return false;
     }
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -9,6 +9,9 @@
 {
   for (const auto& it : mConfig.routes) {
     mByHost[it.host].push_back(&it);
+    if (it.IsFanout()) {
+      mNeededCoverage = std::max(mNeededCoverage, it.minCoverage);
+    }
   }
   for (auto& [host, routes] : mByHost) {
     std::stable_sort(
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -289,9 +289,9 @@
   return records;
 }
 
-double ServerRegistry::Locality(const RouteTable& aTable,
-                                const FailureDomain& aDomain,
-                                TimePoint aNow)
+template<typename Predicate>
+double ServerRegistry::ShareOfShards(const RouteTable& aTable,
+                                     Predicate aUsable)
 {
   std::set<std::string_view> groups;
   for (const auto& it : aTable.Config().routes) {
@@ -300,15 +300,27 @@
   if (groups.empty()) {
     return 1;
   }
-  std::size_t local = 0;
-  for (const auto name : groups) {
-    const auto& servers = Group(std::string(name)).servers;
-    local += static_cast<std::size_t>(
-      std::any_of(servers.begin(), servers.end(), [&](const auto& aIt) {
-        return aIt->Record().failureDomain == aDomain && MayUse(*aIt, aNow);
-      }));
-  }
-  return static_cast<double>(local) / static_cast<double>(groups.size());
+  const auto covered =
+    std::count_if(groups.begin(), groups.end(), [&](const auto aName) {
+      const auto& servers = Group(std::string(aName)).servers;
+      return std::any_of(servers.begin(), servers.end(), aUsable);
+    });
+  return static_cast<double>(covered) / static_cast<double>(groups.size());
+}
+
+double ServerRegistry::Locality(const RouteTable& aTable,
+                                const FailureDomain& aDomain,
+                                TimePoint aNow)
+{
+  return ShareOfShards(aTable, [&](const auto& aIt) {
+    return aIt->Record().failureDomain == aDomain && MayUse(*aIt, aNow);
+  });
+}
+
+double ServerRegistry::Coverage(const RouteTable& aTable, TimePoint aNow)
+{
+  return ShareOfShards(aTable,
+                       [&](const auto& aIt) { return MayUse(*aIt, aNow); });
 }
 
 } // namespace bronzedeal::gateway
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -301,8 +301,8 @@
                             "{}",
                             "[1]",
                             "[[\"x\"]]",
-                            R"([["x","a","b",1,1,1.0,1]])",
-                            R"([["127.0.0.1","a","b",1,1,1.0,"1"]])" }) {
+                            R"([["x","a","b",1,1,1.0,1,100]])",
+                            R"([["127.0.0.1","a","b",1,1,1.0,"1",100]])" }) {
     states.clear();
     EXPECT_FALSE(DecodePeers(text, states)) << text;
   }
@@ -345,6 +345,29 @@
   EXPECT_EQ(PickAddresses({ { Ip(1), 1, 1, false } }).size(), 1U);
 }
 
+// Guards against callers being sent to instances that a partition keeps from
+// most servers while others reach them (zones-apart, 0.57 on gaonsan-hide).
+TEST(PickAddresses, PrefersInstancesThatReachTheServers)
+{
+  EXPECT_EQ(PickAddresses(
+              { { Ip(1), 1, 1, true, false }, { Ip(2), 0, 1, true, true } }),
+            std::vector{ Ip(2) });
+  EXPECT_EQ(PickAddresses({ { Ip(1), 1, 1, true, false } }).size(), 1U);
+}
+
+// Guards against an instance behind a partition forgetting the other side at
+// once, and against one that ended being remembered for long.
+TEST(PeerTable, RemembersLostInstancesForAWhile)
+{
+  PeerTable table(Peer(1), PeerTable::Options{});
+  auto other = Peer(2);
+  other.serving = true;
+  table.Merge({ other }, At(0));
+  EXPECT_TRUE(table.Lost(At(1000)).empty());
+  EXPECT_EQ(table.Lost(At(3000)).size(), 1U);
+  EXPECT_TRUE(table.Lost(At(5000)).empty());
+}
+
 // Guards against an answer that isn't the greatest records, compared as bytes.
 RC_GTEST_PROP(MergeGreatest, EqualsASortOfAllRecords, ())
 {
