Separate the shards' state from the fan-out exchange

Change: ShardSet keeps the shards and their answers and sends nothing; the exchange decides what is sent.

--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -100,6 +100,7 @@
 class ServerChanges;
 class ServerConnection;
 class ServerRegistry;
+class ShardSet;
 class TimerQueue;
 struct Process;
 struct Route;
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -1,6 +1,6 @@
 #include "bronzedeal/gateway/exchange.hpp"
 #include "bronzedeal/gateway/partial_query.hpp"
-#include "bronzedeal/gateway/record_merge.hpp"
+#include "bronzedeal/gateway/shard_set.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -74,9 +74,8 @@
       static_cast<std::size_t>(std::ceil(mRequest.route->minCoverage *
                                            static_cast<double>(shards.size()) -
                                          kRounding)));
-    mShards.reserve(shards.size());
     for (const auto& it : shards) {
-      mShards.push_back(Shard{ &mContext.servers.Group(it) });
+      mShards.Add(ShardState{ .group = &mContext.servers.Group(it) });
     }
   }
 
@@ -86,9 +85,8 @@
     mNeeded = 0;
     mIsRepeat = aPartial.repeated;
     mSoftDeadline = mRequest.caller.received + aPartial.answerWithin;
-    mShards.reserve(aPartial.shards.size());
     for (const auto& it : aPartial.shards) {
-      Shard shard{ &mContext.servers.Group(it.group) };
+      ShardState shard{ .group = &mContext.servers.Group(it.group) };
       for (const auto& id : it.servers) {
         if (const auto server = mContext.servers.Find(id)) {
           shard.allowed.push_back(server.get());
@@ -98,7 +96,7 @@
         // Only the asking instance knows the servers, so it sends itself.
         shard.sends = kMaxSends;
       }
-      mShards.push_back(std::move(shard));
+      mShards.Add(std::move(shard));
     }
   }
 
@@ -138,38 +136,6 @@
   }
 
 private:
-  struct Running
-  {
-    std::shared_ptr<BackendServer> server;
-    std::shared_ptr<Attempt> attempt;
-    unsigned slot = 0;
-  };
-
-  struct Shard
-  {
-    GroupState* group;
-    std::vector<Running> running;
-    /// Servers that may have run the request.
-    UsedServers ran;
-    /// Servers that the next try leaves out.
-    UsedServers avoid;
-    /// The only servers that may be asked; all when empty.
-    UsedServers allowed;
-    unsigned sends = 0;
-    bool arrived = false;
-    /// The gathering instance has sent nothing for it.
-    bool notAsked = false;
-    /// It is or was part of a batch: merged records can't be taken apart, so
-    /// it must not be in two.
-    bool batched = false;
-    bool done = false;
-    /// No send is possible before this.
-    TimePoint retryAt{};
-    TimePoint hedgeAt = TimePoint::max();
-    std::string body;
-    std::string signature;
-  };
-
   /// One shard of a partial query, and the servers that it may be sent to.
   struct BatchShard
   {
@@ -239,7 +205,8 @@
     return server;
   }
 
-  std::shared_ptr<BackendServer> ChooseServer(Shard& aShard, TimePoint aNow)
+  std::shared_ptr<BackendServer> ChooseServer(ShardState& aShard,
+                                              TimePoint aNow)
   {
     // Once the route's number of servers is used up, only those may be asked
     // again.
@@ -248,46 +215,31 @@
       return aShard.running.empty() ? AgainToRan(aShard, aNow) : nullptr;
     }
     auto server = Choose(aShard, aShard.avoid, aNow);
-    const bool onlyGathered =
-      std::all_of(aShard.running.begin(),
-                  aShard.running.end(),
-                  [](const auto& aIt) { return aIt.attempt == nullptr; });
-    if (!server && onlyGathered) {
+    if (!server && aShard.OnlyGathered()) {
       aShard.avoid.clear();
       server = Choose(aShard, {}, aNow);
     }
     return server;
   }
 
-  std::shared_ptr<BackendServer> AgainToRan(Shard& aShard, TimePoint aNow)
+  std::shared_ptr<BackendServer> AgainToRan(ShardState& aShard, TimePoint aNow)
   {
     return mContext.servers.Choose(
-      *aShard.group, mServerRequest->view, AllBut(aShard, aShard.ran), aNow);
+      *aShard.group, mServerRequest->view, aShard.AllBut(aShard.ran), aNow);
   }
 
-  std::shared_ptr<BackendServer> Choose(Shard& aShard,
+  std::shared_ptr<BackendServer> Choose(ShardState& aShard,
                                         UsedServers aAvoid,
                                         TimePoint aNow)
   {
     if (!aShard.allowed.empty()) {
-      const auto others = AllBut(aShard, aShard.allowed);
+      const auto others = aShard.AllBut(aShard.allowed);
       aAvoid.insert(aAvoid.end(), others.begin(), others.end());
     }
     return mContext.servers.Choose(
       *aShard.group, mServerRequest->view, aAvoid, aNow);
   }
 
-  static UsedServers AllBut(const Shard& aShard, const UsedServers& aKept)
-  {
-    UsedServers others;
-    for (const auto& it : aShard.group->servers) {
-      if (std::find(aKept.begin(), aKept.end(), it.get()) == aKept.end()) {
-        others.push_back(it.get());
-      }
-    }
-    return others;
-  }
-
   /// Hands the shards whose best server is in another failure domain to
   /// instances there.
   void SendBatches(TimePoint aNow)
@@ -391,7 +343,7 @@
       query.shards.push_back(std::move(part));
       shard.batched = true;
       shard.avoid.push_back(it.servers.front());
-      shard.running.push_back(Running{ peer, nullptr, slot });
+      shard.running.push_back(ShardAttempt{ peer, nullptr, slot });
       shard.hedgeAt =
         aNow + FromMilliseconds(kBatchHopMs +
                                 kBatchFactor * mServerRequest->view.typicalMs);
@@ -444,7 +396,7 @@
         taken ? !shard.notAsked : aResult != AttemptResult::NotRun;
       shard.arrived = shard.arrived || asked;
       if (asked && batch.repeated) {
-        NoteRan(shard, it.servers.front());
+        shard.NoteRan(it.servers.front());
       }
       if (taken && shard.notAsked) {
         // That instance doesn't know the shard's servers.
@@ -463,61 +415,31 @@
     }
   }
 
-  [[nodiscard]] static bool MayHaveArrived(const Shard& aShard)
-  {
-    return !aShard.ran.empty() || aShard.arrived ||
-           std::any_of(
-             aShard.running.begin(), aShard.running.end(), [](const auto& aIt) {
-               return aIt.attempt && aIt.attempt->sent;
-             });
-  }
-
   /// Takes the merged records of a partial query; false when the answer is
-  /// none. A shard that a server has answered meanwhile counts as part of the
-  /// merged records, since these can't be taken apart.
+  /// none.
   bool TakeMerged(const Batch& aBatch, ResponseMessage& aResponse)
   {
     const auto parts = DecodePartialParts(aResponse);
-    if (!parts) {
-      return false;
-    }
+    std::vector<std::size_t> asked;
     for (const auto& it : aBatch.shards) {
-      mShards[it.shard].notAsked = true;
-    }
-    std::vector<std::pair<Shard*, const PartialPart*>> included;
-    for (const auto& part : *parts) {
-      const auto it = std::find_if(
-        aBatch.shards.begin(), aBatch.shards.end(), [&](const auto& aIt) {
-          return mShards[aIt.shard].group->name == part.group;
-        });
-      if (it == aBatch.shards.end()) {
-        return false;
-      }
-      mShards[it->shard].notAsked = false;
-      if (!part.signature.empty()) {
-        included.emplace_back(&mShards[it->shard], &part);
-      }
+      asked.push_back(it.shard);
+    }
+    std::vector<std::size_t> included;
+    if (!parts || !mShards.TakeMerged(
+                    asked, *parts, std::move(aResponse.body()), included)) {
+      return false;
     }
     const auto now = steady_clock::now();
-    for (const auto& [shard, part] : included) {
-      mDone += shard->done ? 0 : 1;
-      shard->done = true;
-      shard->body.clear();
-      shard->signature = part->signature;
-      ReleaseShard(*shard, now, false);
-    }
-    mMerged.push_back(std::move(aResponse.body()));
+    for (const auto n : included) {
+      ReleaseShard(mShards[n], now, false);
+    }
     return true;
   }
 
   /// The first arrival is free; others draw on the group's repeats.
-  bool TakeRepeat(Shard& aShard, TimePoint aNow)
+  bool TakeRepeat(ShardState& aShard, TimePoint aNow)
   {
-    const bool sent = std::any_of(
-      aShard.running.begin(), aShard.running.end(), [](const auto& aIt) {
-        return aIt.attempt == nullptr || aIt.attempt->sent;
-      });
-    if (!aShard.arrived && !sent) {
+    if (!aShard.arrived && !aShard.HasLeft()) {
       // Nothing has left for a server yet: this send replaces the others.
       ReleaseShard(aShard, aNow, false);
       return true;
@@ -540,14 +462,14 @@
     ++mSends;
     const auto slot = ++mSlots;
     shard.avoid.push_back(aServer.get());
-    shard.running.push_back(Running{ aServer, nullptr, slot });
+    shard.running.push_back(ShardAttempt{ aServer, nullptr, slot });
     auto attempt =
       aServer->Send(mServerRequest,
                     [self = shared_from_this(), aShard, slot](
                       auto aResult, auto aFault, ResponseMessage* aResponse) {
                       self->OnAttempt(aShard, slot, aResult, aFault, aResponse);
                     });
-    const auto it = FindRunning(shard, slot);
+    const auto it = shard.FindRunning(slot);
     if (it != shard.running.end()) {
       it->attempt = std::move(attempt);
       shard.hedgeAt =
@@ -556,14 +478,6 @@
     }
   }
 
-  static std::vector<Running>::iterator FindRunning(Shard& aShard,
-                                                    unsigned aSlot)
-  {
-    return std::find_if(aShard.running.begin(),
-                        aShard.running.end(),
-                        [&](const auto& aIt) { return aIt.slot == aSlot; });
-  }
-
   void OnAttempt(std::size_t aShard,
                  unsigned aSlot,
                  AttemptResult aResult,
@@ -571,20 +485,20 @@
                  ResponseMessage* aResponse)
   {
     auto& shard = mShards[aShard];
-    const auto it = FindRunning(shard, aSlot);
+    const auto it = shard.FindRunning(aSlot);
     if (!mReply || it == shard.running.end()) {
       return;
     }
     const auto running = std::move(*it);
     shard.running.erase(it);
     if (aResult != AttemptResult::NotRun) {
-      NoteRan(shard, running.server.get());
+      shard.NoteRan(running.server.get());
     }
     if (aResult != AttemptResult::NotRun || aFault == AttemptFault::Refused ||
         aFault == AttemptFault::OtherServer) {
       shard.arrived = true;
     }
-    if (aResult == AttemptResult::Answered && TakePart(shard, *aResponse)) {
+    if (aResult == AttemptResult::Answered && TakePart(aShard, *aResponse)) {
       if (running.attempt) {
         mContext.latency.Add(*mRequest.route,
                              steady_clock::now() - running.attempt->sentAt);
@@ -606,30 +520,20 @@
     }
   }
 
-  static void NoteRan(Shard& aShard, const BackendServer* aServer)
-  {
-    if (std::find(aShard.ran.begin(), aShard.ran.end(), aServer) ==
-        aShard.ran.end()) {
-      aShard.ran.push_back(aServer);
-    }
-  }
-
   /// Takes a shard's answer; false when it is none: a failure, or an answer
   /// without a signature.
-  bool TakePart(Shard& aShard, ResponseMessage& aResponse)
+  bool TakePart(std::size_t aShard, ResponseMessage& aResponse)
   {
     const auto signature = aResponse[Process().settings.headers.signature];
     if (aResponse.result_int() / 100 != 2 || signature.empty()) {
       return false;
     }
-    aShard.signature = std::string(signature);
-    aShard.body = std::move(aResponse.body());
-    aShard.done = true;
-    ++mDone;
+    mShards.TakePart(
+      aShard, std::string(signature), std::move(aResponse.body()));
     return true;
   }
 
-  void ReleaseShard(Shard& aShard, TimePoint aNow, bool aCallerLeft)
+  void ReleaseShard(ShardState& aShard, TimePoint aNow, bool aCallerLeft)
   {
     for (const auto& it : std::exchange(aShard.running, {})) {
       if (it.attempt) {
@@ -646,7 +550,8 @@
       return;
     }
     const auto now = steady_clock::now();
-    if (mDone == mShards.size() || (mDone >= mNeeded && now >= mSoftDeadline)) {
+    if (mShards.Complete() ||
+        (mShards.Done() >= mNeeded && now >= mSoftDeadline)) {
       FinishMerged();
       return;
     }
@@ -670,9 +575,9 @@
       }
       waiting = waiting || !shard.running.empty();
       possible = possible || shard.retryAt != TimePoint::max();
-      next = std::min(next, NextTime(shard));
+      next = std::min(next, shard.NextTime());
     }
-    if (!waiting && mDone >= mNeeded) {
+    if (!waiting && mShards.Done() >= mNeeded) {
       // The rest has no server that may be asked now.
       FinishMerged();
       return;
@@ -703,11 +608,6 @@
     SendHedges(hedges, aNow);
   }
 
-  static TimePoint NextTime(const Shard& aShard)
-  {
-    return aShard.running.empty() ? aShard.retryAt : aShard.hedgeAt;
-  }
-
   void ArmTimer(TimePoint aWhen)
   {
     if (mTimer.id != 0 && mTimer.when == aWhen) {
@@ -723,18 +623,11 @@
   void FinishMerged()
   {
     CallerReply reply;
-    std::vector<std::string_view> bodies;
-    bodies.reserve(mShards.size());
-    for (const auto& it : mShards) {
-      if (it.done) {
-        bodies.emplace_back(it.body);
-      }
-    }
-    bodies.insert(bodies.end(), mMerged.begin(), mMerged.end());
-    reply.headers = mIsPartial ? PartHeaders() : CoverageHeaders();
-    reply.body = MergeGreatest(bodies, mRequest.route->topRecords);
+    reply.headers =
+      mIsPartial ? EncodePartialParts(mShards.Parts()) : CoverageHeaders();
+    reply.body = mShards.Merge(mRequest.route->topRecords);
     if (!mIsPartial) {
-      Process().metrics.Add(mDone == mShards.size()
+      Process().metrics.Add(mShards.Complete()
                               ? process::Counter::QueriesWhole
                               : process::Counter::QueriesPartial);
     }
@@ -743,30 +636,12 @@
 
   [[nodiscard]] std::string CoverageHeaders()
   {
-    std::string signatures;
-    for (const auto& it : mShards) {
-      if (it.done) {
-        signatures += signatures.empty() ? "" : ", ";
-        signatures += it.signature;
-      }
-    }
     const auto& names = Process().settings.headers;
     return fmt::format("{}: {}\r\n{}: {}\r\n",
                        names.partSignatures,
-                       signatures,
+                       mShards.Signatures(),
                        names.missingShards,
-                       mShards.size() - mDone);
-  }
-
-  [[nodiscard]] std::string PartHeaders() const
-  {
-    std::vector<PartialPart> parts;
-    for (const auto& it : mShards) {
-      if (it.done || MayHaveArrived(it)) {
-        parts.push_back({ it.group->name, it.signature });
-      }
-    }
-    return EncodePartialParts(parts);
+                       mShards.size() - mShards.Done());
   }
 
   void FinishShort(std::string_view aCause)
@@ -776,11 +651,7 @@
       std::any_of(mBatches.begin(), mBatches.end(), [](const auto& aIt) {
         return aIt.second.attempt && aIt.second.attempt->sent;
       });
-    const bool ran =
-      gathered ||
-      std::any_of(mShards.begin(), mShards.end(), [](const auto& aIt) {
-        return aIt.done || MayHaveArrived(aIt);
-      });
+    const bool ran = gathered || mShards.AnyMayHaveArrived();
     Finish(ran ? OwnReply(504, "too few shards answered in time")
                : RefusedReply("too few shards have a server", kRetryAfter),
            aCause);
@@ -793,7 +664,7 @@
     if (!mIsPartial) {
       Process().metrics.ObserveQuery(Milliseconds(took) / 1000);
     }
-    if (mDone != mShards.size() || took >= mRequest.route->objective) {
+    if (!mShards.Complete() || took >= mRequest.route->objective) {
       LogEnd(aReply.status, aCause, took);
     }
     Stop(false);
@@ -802,15 +673,6 @@
 
   void LogEnd(unsigned aStatus, std::string_view aCause, Duration aTook)
   {
-    // The first few missing shards tell which servers to look at.
-    constexpr std::size_t kShownShards = 4;
-    std::string missing;
-    std::size_t shown = 0;
-    for (const auto& it : mShards) {
-      if (!it.done && shown++ < kShownShards) {
-        missing += it.group->name + ' ';
-      }
-    }
     Process().log.Write(
       mIsPartial ? "partial_end" : "request_end",
       { { "request", mRequest.caller.requestId },
@@ -819,8 +681,8 @@
         { "status", static_cast<std::int64_t>(aStatus) },
         { "cause", aCause },
         { "shards", static_cast<std::int64_t>(mShards.size()) },
-        { "done", static_cast<std::int64_t>(mDone) },
-        { "missing", missing },
+        { "done", static_cast<std::int64_t>(mShards.Done()) },
+        { "missing", mShards.Missing() },
         { "sends", static_cast<std::int64_t>(mSends) },
         { "repeats_denied", static_cast<std::int64_t>(mDenied) },
         { "typical_ms", mServerRequest->view.typicalMs },
@@ -852,12 +714,9 @@
   bool mIsPartial;
   /// The asking instance has paid for the sends from its share of repeats.
   bool mIsRepeat = false;
-  std::vector<Shard> mShards;
+  ShardSet mShards;
   std::map<unsigned, Batch> mBatches;
-  /// Records that other instances have merged.
-  std::vector<std::string> mMerged;
   std::size_t mNeeded = 1;
-  std::size_t mDone = 0;
   unsigned mSlots = 0;
   unsigned mSends = 0;
   unsigned mDenied = 0;
