Tell when a former version and a withdrawn domain are free of requests

Cause: on the users' platform nothing said when former traffic had stopped: the withdrawal report answers for bronzedeald only.

Change: version_retired and domain_quiet lines with the time that it took, and two gauges, from the requests in progress themselves.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -101,6 +101,12 @@
 
   [[nodiscard]] ReplicaView View(TimePoint aNow) const noexcept;
 
+  /// Requests in progress at the server.
+  [[nodiscard]] std::size_t InFlight() const noexcept
+  {
+    return mInFlight.size();
+  }
+
   /// Sends as soon as a connection is free. The handler may be called before
   /// the return.
   std::shared_ptr<Attempt> Send(std::shared_ptr<const ServerRequest> aRequest,
--- a/include/bronzedeal/gateway/gateway.hpp
+++ b/include/bronzedeal/gateway/gateway.hpp
@@ -41,13 +41,22 @@
   [[nodiscard]] PeerPool& Peers() noexcept { return mPeers; }
 
 private:
+  /// A version's table, for as long as requests use it.
+  struct VersionUse;
+
+  /// The last request of a version that is no longer in force has ended.
+  void OnVersionRetired(ConfigVersion aVersion, TimePoint aReplacedAt);
   [[nodiscard]] const std::string& PickGroup(const Route& aRoute);
 
   Process& mProcess;
   ServerRegistry& mServers;
   RouteLatency mLatency;
   PeerPool mPeers;
+  std::shared_ptr<VersionUse> mUse;
   std::shared_ptr<const RouteTable> mTable;
+  unsigned mFormerVersions = 0;
+  /// Expires with the gateway, which requests of a stopping process outlive.
+  std::shared_ptr<bool> mRunning = std::make_shared<bool>(true);
   std::function<void()> mOnAccept;
   /// What each target of a weighted route is owed (smooth round robin).
   std::unordered_map<std::string, std::unordered_map<std::string, double>>
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -122,12 +123,17 @@
   void QueueWarm(const std::shared_ptr<BackendServer>& aServer);
   void ScheduleWarm();
   void NoteChanged(const ServerId& aServer);
+  /// Tells when the last request at a withdrawn domain's servers has ended.
+  void CheckQuiet();
 
   Process& mProcess;
   std::unordered_map<ServerId, std::shared_ptr<BackendServer>> mById;
   std::unordered_map<std::string, std::unique_ptr<GroupState>> mGroups;
   std::unordered_map<std::string, std::size_t> mConnectionShares;
   std::set<FailureDomain> mWithdrawn;
+  /// Withdrawn domains that may still have requests in progress, and since when
+  /// they are withdrawn.
+  std::map<FailureDomain, TimePoint> mNotQuiet;
   std::deque<std::weak_ptr<BackendServer>> mWarmQueue;
   ServerChanges mChanges;
   std::function<void()> mOnChange;
--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -57,6 +57,8 @@
   Fenced,
   Quarantined,
   ServersKnown,
+  FormerVersions,
+  WithdrawnInFlight,
   Count,
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,26 @@
 
 } // namespace
 
+struct Gateway::VersionUse
+{
+  explicit VersionUse(RouteConfig aConfig)
+    : table(std::move(aConfig))
+  {
+  }
+  ~VersionUse()
+  {
+    if (onEnd) {
+      onEnd();
+    }
+  }
+  VersionUse(const VersionUse&) = delete;
+  VersionUse& operator=(const VersionUse&) = delete;
+
+  RouteTable table;
+  /// Set once another version is in force.
+  std::function<void()> onEnd;
+};
+
 Gateway::Gateway(Process& aProcess, ServerRegistry& aServers)
   : mProcess(aProcess)
   , mServers(aServers)
@@ -32,8 +52,22 @@
   mProcess.metrics.Add(process::Counter::ConfigAccepted);
   mProcess.metrics.Set(process::Gauge::ConfigVersion,
                        static_cast<double>(aConfig.version));
-  mTable = std::make_shared<const RouteTable>(std::move(aConfig));
+  auto former =
+    std::exchange(mUse, std::make_shared<VersionUse>(std::move(aConfig)));
+  mTable = std::shared_ptr<const RouteTable>(mUse, &mUse->table);
   mCredits.clear();
+  if (former) {
+    mProcess.metrics.Set(process::Gauge::FormerVersions, ++mFormerVersions);
+    former->onEnd = [this,
+                     running = std::weak_ptr(mRunning),
+                     version = former->table.Version(),
+                     now = std::chrono::steady_clock::now()] {
+      if (!running.expired()) {
+        OnVersionRetired(version, now);
+      }
+    };
+    former.reset(); // the end, unless requests use it
+  }
   OnFleetChange();
   if (mOnAccept) {
     mOnAccept();
@@ -41,6 +75,15 @@
   return true;
 }
 
+void Gateway::OnVersionRetired(ConfigVersion aVersion, TimePoint aReplacedAt)
+{
+  mProcess.metrics.Set(process::Gauge::FormerVersions, --mFormerVersions);
+  const auto now = std::chrono::steady_clock::now();
+  mProcess.log.Write("version_retired",
+                     { { "version", static_cast<std::int64_t>(aVersion) },
+                       { "after_ms", Milliseconds(now - aReplacedAt) } });
+}
+
 void Gateway::OnAccept(std::function<void()> aHandler)
 {
   mOnAccept = std::move(aHandler);
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -15,6 +15,8 @@
 /// Connections are opened ahead of requests one by one, at this pace: opening
 /// one takes a server's slot for a few milliseconds.
 constexpr auto kWarmPace = milliseconds(4);
+/// Whether a withdrawn domain has requests in progress is looked at this often.
+constexpr auto kQuietPoll = milliseconds(50);
 /// A server whose cold time moves by more than this has become cold again; less
 /// is the delay of its record on the way.
 constexpr auto kColdChange = milliseconds(300);
@@ -161,6 +163,40 @@
   for (const auto& it : withdrawn) {
     it->DropQueued();
   }
+  const bool checking = !mNotQuiet.empty();
+  mNotQuiet[aDomain] = std::chrono::steady_clock::now();
+  if (!checking) {
+    CheckQuiet();
+  }
+}
+
+void ServerRegistry::CheckQuiet()
+{
+  const auto now = std::chrono::steady_clock::now();
+  std::map<FailureDomain, std::size_t> inFlight;
+  for (const auto& [id, server] : mById) {
+    inFlight[server->Record().failureDomain] += server->InFlight();
+  }
+  std::size_t left = 0;
+  std::erase_if(mNotQuiet, [&](const auto& aEntry) {
+    const auto& [domain, since] = aEntry;
+    if (!mWithdrawn.contains(domain)) {
+      return true;
+    }
+    left += inFlight[domain];
+    if (inFlight[domain] > 0) {
+      return false;
+    }
+    mProcess.log.Write(
+      "domain_quiet",
+      { { "domain", domain }, { "after_ms", Milliseconds(now - since) } });
+    return true;
+  });
+  mProcess.metrics.Set(process::Gauge::WithdrawnInFlight,
+                       static_cast<double>(left));
+  if (!mNotQuiet.empty()) {
+    mProcess.timers.At(now + kQuietPoll, [this] { CheckQuiet(); });
+  }
 }
 
 void ServerRegistry::ApplyShare(BackendServer& aServer) const
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -68,6 +68,9 @@
   { "bronzedeal_fenced", "1 while the instance is fenced" },
   { "bronzedeal_quarantined", "Fingerprints in quarantine" },
   { "bronzedeal_servers_known", "Backend servers in the registry" },
+  { "bronzedeal_former_versions", "Former versions with requests in progress" },
+  { "bronzedeal_withdrawn_in_flight",
+    "Requests in progress at servers of withdrawn failure domains" },
 } };
 
 // Seconds; the target is a p99 of 0.17 s.
