Wait for a reader after the start instead of reading the service

A mass restart of 820 instances would bring as many lists at once.

Change: the followers start 40 ms after the process, when running instances have answered its first datagram; an instance that callers won't be sent to waits up to 2 s for one that has read the service.

--- a/include/bronzedeal/gateway/relayed_source.hpp
+++ b/include/bronzedeal/gateway/relayed_source.hpp
@@ -20,9 +20,10 @@
   RelayedSource(Process& aProcess, MetadataSource& aService, Topic aTopic);
   ~RelayedSource() override;
 
-  /// The instances that may be read from, by id; none where this one should
-  /// read the service itself.
-  void SetRelays(const std::vector<PeerState>& aRelays);
+  /// The instances that may be read from. `aReads`: this instance should read
+  /// the service itself. Where neither holds, a list waits for a relay for a
+  /// while after the start, then reads the service.
+  void SetRelays(const std::vector<PeerState>& aRelays, bool aReads);
 
   /// Whether the service itself is read.
   [[nodiscard]] bool Direct() const noexcept { return !mCurrent; }
@@ -40,6 +41,7 @@
 private:
   struct Call;
 
+  [[nodiscard]] bool ShouldWait(TimePoint aNow) const;
   [[nodiscard]] std::optional<InstanceId> Choose(TimePoint aNow);
   void SwitchTo(std::optional<InstanceId> aRelay);
   void Ask(const RelayQuery& aQuery, Duration aTimeout, Handler aHandler);
@@ -54,6 +56,8 @@
   MetadataSource& mService;
   Topic mTopic;
   std::map<InstanceId, PeerState> mRelays;
+  bool mReads = true;
+  TimePoint mStarted = std::chrono::steady_clock::now();
   std::map<InstanceId, TimePoint> mSuspendedUntil;
   /// Absent while the service itself is read.
   std::optional<InstanceId> mCurrent;
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -32,6 +32,9 @@
 /// A process that has just started takes its view of the fleet for complete
 /// this long after it has heard of the first other instance: a round of gossip.
 constexpr auto kSettle = milliseconds(300);
+/// The service is read only after this, by when running instances have answered
+/// the first datagram and told who reads it.
+constexpr auto kListen = milliseconds(40);
 /// Without any other instance heard of, it is alone.
 constexpr auto kAlone = milliseconds(1000);
 /// An instance with less than this part of the coverage that routes need is
@@ -224,6 +227,18 @@
     return PickAddresses(std::move(candidates));
   }
 
+  std::vector<InstanceId> ServingInstances(TimePoint aNow)
+  {
+    const auto named = ServingAddresses();
+    std::vector<InstanceId> serving;
+    for (const auto& it : process.peers.Alive(aNow)) {
+      if (std::find(named.begin(), named.end(), it.address) != named.end()) {
+        serving.push_back(it.instance);
+      }
+    }
+    return serving;
+  }
+
   bool Settled(TimePoint aNow)
   {
     if (settled) {
@@ -241,16 +256,11 @@
   void UpdateShares()
   {
     const auto now = steady_clock::now();
+    const auto serving = ServingInstances(now);
+    UpdateRelays(serving, now);
     if (!Settled(now)) {
       return;
     }
-    const auto named = ServingAddresses();
-    std::vector<InstanceId> serving;
-    for (const auto& it : process.peers.Alive(now)) {
-      if (std::find(named.begin(), named.end(), it.address) != named.end()) {
-        serving.push_back(it.instance);
-      }
-    }
     const auto former = process.shares.Divisor();
     const bool served = process.shares.Serving();
     process.shares.Update(serving, now);
@@ -259,7 +269,6 @@
     }
     process.peers.Self().serving = process.shares.Serving();
     gateway.Peers().Update(process.peers.Informed(now));
-    UpdateRelays(serving, now);
     if (process.shares.Divisor() != former) {
       process.log.Write(
         "shares_changed",
@@ -278,7 +287,8 @@
              aServing.end();
     };
     std::vector<PeerState> relays;
-    if (!serves(process.settings.instance)) {
+    const bool reads = serves(process.settings.instance);
+    if (!reads) {
       for (auto& it : process.peers.Alive(aNow)) {
         if (serves(it.instance) && it.informed && it.ready && !it.leaving &&
             it.failureDomain == process.settings.failureDomain) {
@@ -286,8 +296,8 @@
         }
       }
     }
-    serverSource.SetRelays(relays);
-    operatorSource.SetRelays(relays);
+    serverSource.SetRelays(relays, reads);
+    operatorSource.SetRelays(relays, reads);
   }
 
   /// In percent.
@@ -431,8 +441,11 @@
                         { "domain", process.settings.failureDomain } });
     WaitForSignal();
     gossip.Start();
-    serverFollower.Start();
-    operatorFollower.Start();
+    process.timers.At(started + kListen, [this] {
+      UpdateShares();
+      serverFollower.Start();
+      operatorFollower.Start();
+    });
     PollReload();
     PollReady();
     PollSummary();
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -23,6 +23,10 @@
 constexpr auto kReplySlack = milliseconds(400);
 /// An instance that didn't answer is left alone for this long.
 constexpr auto kSuspension = milliseconds(3000);
+/// After the start of many instances at once, those that callers are sent to
+/// have read the service by then.
+constexpr auto kPatience = milliseconds(2000);
+constexpr auto kWaitPause = milliseconds(100);
 
 } // namespace
 
@@ -50,14 +54,21 @@
   }
 }
 
-void RelayedSource::SetRelays(const std::vector<PeerState>& aRelays)
+void RelayedSource::SetRelays(const std::vector<PeerState>& aRelays,
+                              bool aReads)
 {
+  mReads = aReads;
   mRelays.clear();
   for (const auto& it : aRelays) {
     mRelays.emplace(it.instance, it);
   }
 }
 
+bool RelayedSource::ShouldWait(TimePoint aNow) const
+{
+  return !mReads && mRelays.empty() && aNow - mStarted < kPatience;
+}
+
 std::optional<InstanceId> RelayedSource::Choose(TimePoint aNow)
 {
   std::erase_if(mSuspendedUntil,
@@ -102,8 +113,22 @@
                          Duration aTimeout,
                          Handler aHandler)
 {
+  const auto now = steady_clock::now();
+  if (aPage.empty() && ShouldWait(now)) {
+    mProcess.timers.At(now + kWaitPause,
+                       [this,
+                        running = mRunning,
+                        aTopic,
+                        aTimeout,
+                        handler = std::move(aHandler)] {
+                         if (*running) {
+                           List(aTopic, {}, aTimeout, handler);
+                         }
+                       });
+    return;
+  }
   if (aPage.empty()) {
-    SwitchTo(Choose(steady_clock::now()));
+    SwitchTo(Choose(now));
   }
   if (Direct()) {
     mService.List(aTopic, aPage, aTimeout, std::move(aHandler));
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -53,11 +53,8 @@
   {
     reader.servers.OnChange([this] { relay.OnChange(); });
     follower.process.settings.gossip.port(listener.Address().port());
-    PeerState state;
-    state.address = asio::ip::address_v4::loopback();
-    state.instance = "gw-reader";
-    source.SetRelays({ state });
-    operators.SetRelays({ state });
+    source.SetRelays({ Reader() }, false);
+    operators.SetRelays({ Reader() }, false);
     reader.gateway.OnAccept([this] { relay.OnChange(); });
   }
 
@@ -83,6 +80,14 @@
     return reply.value_or(MetadataReply{});
   }
 
+  [[nodiscard]] PeerState Reader() const
+  {
+    PeerState state;
+    state.address = asio::ip::address_v4::loopback();
+    state.instance = "gw-reader";
+    return state;
+  }
+
   std::optional<MetadataReply> watched;
 
   void Watch(std::uint64_t aRevision, milliseconds aWait)
@@ -349,11 +354,41 @@
   EXPECT_EQ(world.watched->status, MetadataStatus::Moved);
 }
 
+// Guards against all instances of a fleet that starts at once reading the
+// service: those that callers aren't sent to wait for one that has read it.
+TEST(Relay, WaitsForAReaderAfterTheStart)
+{
+  Relaying world;
+  world.source.SetRelays({}, false);
+  std::optional<MetadataReply> reply;
+  world.source.List(Topic::Servers, "", milliseconds(500), [&](auto aReply) {
+    reply = std::move(aReply);
+  });
+  const auto later = steady_clock::now() + milliseconds(150);
+  world.RunUntil([&] { return steady_clock::now() >= later; });
+  EXPECT_FALSE(reply.has_value());
+  EXPECT_EQ(world.service.lists, 0);
+  world.source.SetRelays({ world.Reader() }, false);
+  world.RunUntil([&] { return reply.has_value(); });
+  EXPECT_TRUE(reply->relayed);
+  EXPECT_EQ(world.service.lists, 0);
+}
+
+// Guards against waiting for ever for a reader that never comes.
+TEST(Relay, ReadsTheServiceWhenNoReaderComes)
+{
+  Relaying world;
+  world.source.SetRelays({}, false);
+  world.source.List(Topic::Servers, "", milliseconds(500), [](auto) {});
+  world.RunUntil([&] { return world.service.lists > 0; });
+  EXPECT_EQ(world.service.lists, 1);
+}
+
 // Guards against an instance that callers are sent to following another one.
 TEST(Relay, ReadsTheServiceWithoutRelays)
 {
   Relaying world;
-  world.source.SetRelays({});
+  world.source.SetRelays({}, true);
   world.List();
   EXPECT_EQ(world.service.lists, 1);
   world.Watch(1, milliseconds(10));
