--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -202,9 +202,13 @@
     const auto now = steady_clock::now();
     UpdateSelf();
     auto states = process.peers.Informed(now);
-    if (std::none_of(states.begin(), states.end(), [this](const auto& aIt) {
-          return Able(aIt);
-        })) {
+    // Among living instances the coverage decides nothing: one's own is newer
+    // than what gossip has brought of the others.
+    const bool anyAble =
+      std::any_of(states.begin(), states.end(), [this](const auto& aIt) {
+        return Able(aIt);
+      });
+    if (!anyAble) {
       // This side of a partition can't serve; callers may reach the other one.
       const auto lost = process.peers.Lost(now);
       states.insert(states.end(), lost.begin(), lost.end());
@@ -221,8 +225,11 @@
       if (isNew) {
         locality->second = Locality(it.failureDomain, now);
       }
-      candidates.push_back(AddressCandidate{
-        it.address, locality->second, it.cores, it.ready, Able(it) });
+      candidates.push_back(AddressCandidate{ it.address,
+                                             locality->second,
+                                             it.cores,
+                                             it.ready,
+                                             anyAble || Able(it) });
     }
     return PickAddresses(std::move(candidates));
   }
