Split the fan-out exchange by what it talks to

Change: the class has a header of its own beside its two files; fanout_batches.cpp holds what concerns other instances. The withdrawal tests share their set-up.

--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -1,11 +1,8 @@
-#include "bronzedeal/gateway/exchange.hpp"
-#include "bronzedeal/gateway/partial_query.hpp"
-#include "bronzedeal/gateway/shard_set.hpp"
+#include "fanout_exchange.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
-#include <map>
 
 namespace bronzedeal::gateway {
 
@@ -23,710 +20,438 @@
 constexpr auto kAnswerMargin = milliseconds(30);
 /// Sends that a shard may take in all, those included that servers refused.
 constexpr unsigned kMaxSends = 6;
-/// Fewest shards in another failure domain that an instance there gathers; for
-/// fewer, the hop costs more than the bytes.
-constexpr std::size_t kMinBatch = 2;
-/// Servers that a gathering instance may use for a shard.
-constexpr std::size_t kMaxBatchServers = 2;
-/// Shards of a partial query are sent to servers directly after this many times
-/// the usual latency, and a little for the hop: by then the gathering instance
-/// has asked a second server, and that one has answered.
-constexpr double kBatchFactor = 3.5;
-constexpr double kBatchHopMs = 8;
-/// A gathering instance answers this long before the objective's margin.
-constexpr auto kHopMargin = milliseconds(6);
 /// Between tries of shards without a usable server.
 constexpr auto kRetryPause = milliseconds(50);
 constexpr auto kRetryAfter = milliseconds(100);
 
-Duration FromMilliseconds(double aMs)
+} // namespace
+
+FanoutExchange::FanoutExchange(const ExchangeContext& aContext,
+                               RoutedRequest aRequest,
+                               const PartialQuery* aPartial,
+                               ReplyHandler aReply)
+  : mContext(aContext)
+  , mRequest(std::move(aRequest))
+  , mReply(std::move(aReply))
+  , mServerRequest(MakeServerRequest(mContext, mRequest))
+  , mSoftDeadline(std::min(mRequest.caller.received +
+                             mRequest.route->objective - kObjectiveMargin,
+                           mRequest.deadline - kAnswerMargin))
+  , mIsPartial(aPartial != nullptr)
 {
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double, std::milli>(aMs));
+  if (aPartial != nullptr) {
+    InitPartial(*aPartial);
+    return;
+  }
+  const auto& shards = mRequest.route->shards;
+  mNeeded = std::max<std::size_t>(
+    1,
+    static_cast<std::size_t>(std::ceil(mRequest.route->minCoverage *
+                                         static_cast<double>(shards.size()) -
+                                       kRounding)));
+  for (const auto& it : shards) {
+    mShards.Add(ShardState{ .group = &mContext.servers.Group(it) });
+  }
 }
 
-class FanoutExchange
-  : public Exchange
-  , public std::enable_shared_from_this<FanoutExchange>
+void FanoutExchange::InitPartial(const PartialQuery& aPartial)
 {
-public:
-  /// `aPartial` is null for a caller's own query.
-  FanoutExchange(const ExchangeContext& aContext,
-                 RoutedRequest aRequest,
-                 const PartialQuery* aPartial,
-                 ReplyHandler aReply)
-    : mContext(aContext)
-    , mRequest(std::move(aRequest))
-    , mReply(std::move(aReply))
-    , mServerRequest(MakeServerRequest(mContext, mRequest))
-    , mSoftDeadline(std::min(mRequest.caller.received +
-                               mRequest.route->objective - kObjectiveMargin,
-                             mRequest.deadline - kAnswerMargin))
-    , mIsPartial(aPartial != nullptr)
-  {
-    if (aPartial != nullptr) {
-      InitPartial(*aPartial);
-      return;
+  // The asking instance decides what coverage is enough.
+  mNeeded = 0;
+  mIsRepeat = aPartial.repeated;
+  mSoftDeadline = mRequest.caller.received + aPartial.answerWithin;
+  for (const auto& it : aPartial.shards) {
+    ShardState shard{ .group = &mContext.servers.Group(it.group) };
+    for (const auto& id : it.servers) {
+      if (const auto server = mContext.servers.Find(id)) {
+        shard.allowed.push_back(server.get());
+      }
     }
-    const auto& shards = mRequest.route->shards;
-    mNeeded = std::max<std::size_t>(
-      1,
-      static_cast<std::size_t>(std::ceil(mRequest.route->minCoverage *
-                                           static_cast<double>(shards.size()) -
-                                         kRounding)));
-    for (const auto& it : shards) {
-      mShards.Add(ShardState{ .group = &mContext.servers.Group(it) });
+    if (shard.allowed.empty()) {
+      // Only the asking instance knows the servers, so it sends itself.
+      shard.sends = kMaxSends;
     }
+    mShards.Add(std::move(shard));
   }
+}
 
-  void InitPartial(const PartialQuery& aPartial)
-  {
-    // The asking instance decides what coverage is enough.
-    mNeeded = 0;
-    mIsRepeat = aPartial.repeated;
-    mSoftDeadline = mRequest.caller.received + aPartial.answerWithin;
-    for (const auto& it : aPartial.shards) {
-      ShardState shard{ .group = &mContext.servers.Group(it.group) };
-      for (const auto& id : it.servers) {
-        if (const auto server = mContext.servers.Find(id)) {
-          shard.allowed.push_back(server.get());
-        }
-      }
-      if (shard.allowed.empty()) {
-        // Only the asking instance knows the servers, so it sends itself.
-        shard.sends = kMaxSends;
-      }
-      mShards.Add(std::move(shard));
-    }
+void FanoutExchange::Start()
+{
+  const auto now = steady_clock::now();
+  if (Reachable(now) < mNeeded) {
+    Refuse("too few shards have a server", "no_servers");
+    return;
   }
-
-  void Start()
-  {
-    const auto now = steady_clock::now();
-    if (Reachable(now) < mNeeded) {
-      Refuse("too few shards have a server", "no_servers");
-      return;
-    }
-    if (now >= mRequest.deadline - kAnswerMargin) {
-      Refuse("too little time is left", "no_time");
-      return;
-    }
-    mStarting = true;
-    if (!mIsPartial) {
-      SendBatches(now);
-    }
-    for (std::size_t n = 0; n < mShards.size(); ++n) {
-      if (mShards[n].running.empty() && !mShards[n].done) {
-        if (!mIsRepeat) {
-          mShards[n].group->repeats.OnFirstSend(
-            Process().settings.repeats, Process().shares.Divisor(), now);
-        }
-        TrySend(n, now);
+  if (now >= mRequest.deadline - kAnswerMargin) {
+    Refuse("too little time is left", "no_time");
+    return;
+  }
+  mStarting = true;
+  if (!mIsPartial) {
+    SendBatches(now);
+  }
+  for (std::size_t n = 0; n < mShards.size(); ++n) {
+    if (mShards[n].running.empty() && !mShards[n].done) {
+      if (!mIsRepeat) {
+        mShards[n].group->repeats.OnFirstSend(
+          Process().settings.repeats, Process().shares.Divisor(), now);
       }
+      TrySend(n, now);
     }
-    mStarting = false;
-    Advance();
   }
+  mStarting = false;
+  Advance();
+}
 
-  void Abandon() override
-  {
-    mReply = nullptr;
-    Process().metrics.Add(process::Counter::CallersLeft);
-    Stop(true);
-  }
-
-private:
-  /// One shard of a partial query, and the servers that it may be sent to.
-  struct BatchShard
-  {
-    std::size_t shard;
-    UsedServers servers;
-  };
-
-  /// A partial query at an instance in another failure domain.
-  struct Batch
-  {
-    std::shared_ptr<BackendServer> peer;
-    std::shared_ptr<Attempt> attempt;
-    std::vector<BatchShard> shards;
-    /// Servers have been asked for its shards before.
-    bool repeated = false;
-  };
-
-  using BatchesByDomain = std::map<FailureDomain, std::vector<BatchShard>>;
-
-  /// Keeps 0.95 x 20 from counting as 20.
-  static constexpr double kRounding = 1e-9;
-
-  gateway::Process& Process() { return mContext.process; }
-
-  std::size_t Reachable(TimePoint aNow)
-  {
-    return static_cast<std::size_t>(
-      std::count_if(mShards.begin(), mShards.end(), [&](const auto& aIt) {
-        return mContext.servers.HasUsable(*aIt.group, aNow);
-      }));
-  }
-
-  /// Nothing has been sent.
-  void Refuse(std::string_view aReason, std::string_view aCause)
-  {
-    Process().metrics.Add(process::Counter::QueriesRefused);
-    Finish(RefusedReply(aReason, kRetryAfter), aCause);
-  }
-
-  /// Sends the shard's request once more where the route, the budget and the
-  /// servers allow it.
-  bool TrySend(std::size_t aShard, TimePoint aNow)
-  {
-    const auto server = PrepareSend(aShard, aNow);
-    if (server) {
-      Dispatch(aShard, server, aNow);
-    }
-    return server != nullptr;
-  }
-
-  /// The server for the shard's next send, which the budget then allows; null
-  /// when none is possible now.
-  std::shared_ptr<BackendServer> PrepareSend(std::size_t aShard, TimePoint aNow)
-  {
-    auto& shard = mShards[aShard];
-    shard.hedgeAt = TimePoint::max();
-    if (shard.sends >= kMaxSends) {
-      shard.retryAt = TimePoint::max();
-      return nullptr;
-    }
-    auto server = ChooseServer(shard, aNow);
-    if (!server || !TakeRepeat(shard, aNow)) {
-      shard.retryAt = aNow + kRetryPause;
-      shard.hedgeAt = shard.retryAt;
-      return nullptr;
-    }
-    return server;
-  }
+void FanoutExchange::Abandon()
+{
+  mReply = nullptr;
+  Process().metrics.Add(process::Counter::CallersLeft);
+  Stop(true);
+}
 
-  std::shared_ptr<BackendServer> ChooseServer(ShardState& aShard,
-                                              TimePoint aNow)
-  {
-    // Once the route's number of servers is used up, only those may be asked
-    // again.
-    if (aShard.ran.size() + aShard.running.size() >=
-        mRequest.route->maxAttempts) {
-      return aShard.running.empty() ? AgainToRan(aShard, aNow) : nullptr;
-    }
-    auto server = Choose(aShard, aShard.avoid, aNow);
-    if (!server && aShard.OnlyGathered()) {
-      aShard.avoid.clear();
-      server = Choose(aShard, {}, aNow);
-    }
-    return server;
-  }
+std::size_t FanoutExchange::Reachable(TimePoint aNow)
+{
+  return static_cast<std::size_t>(
+    std::count_if(mShards.begin(), mShards.end(), [&](const auto& aIt) {
+      return mContext.servers.HasUsable(*aIt.group, aNow);
+    }));
+}
 
-  std::shared_ptr<BackendServer> AgainToRan(ShardState& aShard, TimePoint aNow)
-  {
-    return mContext.servers.Choose(*aShard.group,
-                                   mServerRequest->view,
-                                   aShard.group->AllBut(aShard.ran),
-                                   aNow);
-  }
+void FanoutExchange::Refuse(std::string_view aReason, std::string_view aCause)
+{
+  Process().metrics.Add(process::Counter::QueriesRefused);
+  Finish(RefusedReply(aReason, kRetryAfter), aCause);
+}
 
-  std::shared_ptr<BackendServer> Choose(ShardState& aShard,
-                                        UsedServers aAvoid,
-                                        TimePoint aNow)
-  {
-    if (!aShard.allowed.empty()) {
-      const auto others = aShard.group->AllBut(aShard.allowed);
-      aAvoid.insert(aAvoid.end(), others.begin(), others.end());
-    }
-    return mContext.servers.Choose(
-      *aShard.group, mServerRequest->view, aAvoid, aNow);
-  }
-
-  /// Hands the shards whose best server is in another failure domain to
-  /// instances there.
-  void SendBatches(TimePoint aNow)
-  {
-    BatchesByDomain foreign;
-    const auto servers =
-      std::min<std::size_t>(kMaxBatchServers, mRequest.route->maxAttempts);
-    for (std::size_t n = 0; n < mShards.size(); ++n) {
-      auto& shard = mShards[n];
-      const auto best = mContext.servers.Best(
-        *shard.group, mServerRequest->view, servers, aNow);
-      if (best.empty() || best.front()->Cold(aNow) ||
-          best.front()->Record().failureDomain ==
-            Process().settings.failureDomain) {
-        continue;
-      }
-      for (const auto& it : best) {
-        shard.allowed.push_back(it.get());
-      }
-      foreign[best.front()->Record().failureDomain].push_back(
-        { n, shard.allowed });
-    }
-    for (auto& [domain, shards] : foreign) {
-      const auto peer = FindGatherer(domain, shards.size(), aNow);
-      if (peer) {
-        DispatchBatch(Batch{ peer, nullptr, std::move(shards), false }, aNow);
-      } else {
-        for (const auto& it : shards) {
-          mShards[it.shard].allowed.clear();
-        }
-      }
-    }
+bool FanoutExchange::TrySend(std::size_t aShard, TimePoint aNow)
+{
+  const auto server = PrepareSend(aShard, aNow);
+  if (server) {
+    Dispatch(aShard, server, aNow);
   }
+  return server != nullptr;
+}
 
-  /// An instance of the domain that gathers so many shards; null when they are
-  /// better asked from here.
-  std::shared_ptr<BackendServer> FindGatherer(const FailureDomain& aDomain,
-                                              std::size_t aShards,
-                                              TimePoint aNow)
-  {
-    return aShards >= kMinBatch ? mContext.peers.Find(aDomain, aNow) : nullptr;
-  }
-
-  /// Asks second servers for the shards that are due. Those in another failure
-  /// domain are asked through an instance there, where that leaves it time.
-  void SendHedges(const std::vector<std::size_t>& aDue, TimePoint aNow)
-  {
-    const bool gather =
-      !mIsPartial &&
-      aNow + kHopMargin + FromMilliseconds(mServerRequest->view.typicalMs) <
-        mSoftDeadline;
-    BatchesByDomain foreign;
-    for (const auto n : aDue) {
-      const auto server = mReply ? PrepareSend(n, aNow) : nullptr;
-      if (!server) {
-        continue;
-      }
-      Process().metrics.Add(process::Counter::Hedges);
-      const auto& domain = server->Record().failureDomain;
-      if (gather && !mShards[n].batched && !server->Cold(aNow) &&
-          domain != Process().settings.failureDomain) {
-        foreign[domain].push_back({ n, { server.get() } });
-      } else {
-        Dispatch(n, server, aNow);
-      }
-    }
-    for (auto& [domain, shards] : foreign) {
-      if (!mReply) {
-        return; // a send has ended the exchange
-      }
-      const auto peer = FindGatherer(domain, shards.size(), aNow);
-      if (peer) {
-        DispatchBatch(Batch{ peer, nullptr, std::move(shards), true }, aNow);
-        continue;
-      }
-      for (const auto& it : shards) {
-        const auto* server = it.servers.front();
-        Dispatch(it.shard, mContext.servers.Find(server->Record().id), aNow);
-      }
-    }
+std::shared_ptr<BackendServer> FanoutExchange::PrepareSend(std::size_t aShard,
+                                                           TimePoint aNow)
+{
+  auto& shard = mShards[aShard];
+  shard.hedgeAt = TimePoint::max();
+  if (shard.sends >= kMaxSends) {
+    shard.retryAt = TimePoint::max();
+    return nullptr;
   }
+  auto server = ChooseServer(shard, aNow);
+  if (!server || !TakeRepeat(shard, aNow)) {
+    shard.retryAt = aNow + kRetryPause;
+    shard.hedgeAt = shard.retryAt;
+    return nullptr;
+  }
+  return server;
+}
 
-  void DispatchBatch(Batch aBatch, TimePoint aNow)
-  {
-    PartialQuery query;
-    query.topRecords = mRequest.route->topRecords;
-    query.priority = mRequest.route->priority;
-    query.repeated = aBatch.repeated;
-    query.answerWithin = std::chrono::ceil<milliseconds>(
-      std::max<Duration>(mSoftDeadline - kHopMargin - aNow, milliseconds(1)));
-    query.objective = mRequest.route->objective;
-    const auto slot = ++mSlots;
-    ++mSends;
-    const auto peer = aBatch.peer;
-    for (const auto& it : aBatch.shards) {
-      auto& shard = mShards[it.shard];
-      PartialShard part{ shard.group->name, {} };
-      for (const auto* server : it.servers) {
-        part.servers.push_back(server->Record().id);
-      }
-      query.shards.push_back(std::move(part));
-      shard.batched = true;
-      shard.avoid.push_back(it.servers.front());
-      shard.running.push_back(ShardAttempt{ peer, nullptr, slot });
-      shard.hedgeAt =
-        aNow + FromMilliseconds(kBatchHopMs +
-                                kBatchFactor * mServerRequest->view.typicalMs);
-    }
-    auto request = std::make_shared<ServerRequest>(*mServerRequest);
-    request->head.insert(request->head.find("\r\n") + 2,
-                         EncodePartialQuery(query));
-    Process().metrics.Add(process::Counter::PartialQueries);
-    mBatches.emplace(slot, std::move(aBatch));
-    auto attempt =
-      peer->Send(request,
-                 [self = shared_from_this(),
-                  slot](auto aResult, auto aFault, ResponseMessage* aResponse) {
-                   self->OnBatch(slot, aResult, aFault, aResponse);
-                 });
-    const auto it = mBatches.find(slot);
-    if (it != mBatches.end()) {
-      it->second.attempt = std::move(attempt);
-    }
+std::shared_ptr<BackendServer> FanoutExchange::ChooseServer(ShardState& aShard,
+                                                            TimePoint aNow)
+{
+  // Once the route's number of servers is used up, only those may be asked
+  // again.
+  if (aShard.ran.size() + aShard.running.size() >=
+      mRequest.route->maxAttempts) {
+    return aShard.running.empty() ? AgainToRan(aShard, aNow) : nullptr;
+  }
+  auto server = Choose(aShard, aShard.avoid, aNow);
+  if (!server && aShard.OnlyGathered()) {
+    aShard.avoid.clear();
+    server = Choose(aShard, {}, aNow);
   }
+  return server;
+}
 
-  void OnBatch(unsigned aSlot,
-               AttemptResult aResult,
-               AttemptFault aFault,
-               ResponseMessage* aResponse)
-  {
-    const auto node = mBatches.extract(aSlot);
-    if (!mReply || node.empty()) {
-      return;
-    }
-    const auto& batch = node.mapped();
-    for (const auto& it : batch.shards) {
-      std::erase_if(mShards[it.shard].running,
-                    [&](const auto& aIt) { return aIt.slot == aSlot; });
-    }
-    const bool taken =
-      aResult == AttemptResult::Answered && TakeMerged(batch, *aResponse);
-    if (!taken) {
-      Process().log.Write(
-        "partial_failed",
-        { { "request", mRequest.caller.requestId },
-          { "instance", batch.peer->Record().id },
-          { "fault", Name(aFault) },
-          { "shards", static_cast<std::int64_t>(batch.shards.size()) } });
-    }
-    const auto now = steady_clock::now();
-    for (const auto& it : batch.shards) {
-      auto& shard = mShards[it.shard];
-      const bool asked =
-        taken ? !shard.notAsked : aResult != AttemptResult::NotRun;
-      shard.arrived = shard.arrived || asked;
-      if (asked && batch.repeated) {
-        shard.NoteRan(it.servers.front());
-      }
-      if (taken && shard.notAsked) {
-        // That instance doesn't know the shard's servers.
-        mContext.peers.Suspend(batch.peer->Record().id, now);
-      }
-      if (!shard.done && shard.running.empty()) {
-        if (!asked) {
-          shard.allowed.clear();
-          shard.avoid.clear();
-        }
-        TrySend(it.shard, now);
-      }
-    }
-    if (!mStarting) {
-      Advance();
-    }
+std::shared_ptr<BackendServer> FanoutExchange::AgainToRan(ShardState& aShard,
+                                                          TimePoint aNow)
+{
+  return mContext.servers.Choose(*aShard.group,
+                                 mServerRequest->view,
+                                 aShard.group->AllBut(aShard.ran),
+                                 aNow);
+}
+
+std::shared_ptr<BackendServer> FanoutExchange::Choose(ShardState& aShard,
+                                                      UsedServers aAvoid,
+                                                      TimePoint aNow)
+{
+  if (!aShard.allowed.empty()) {
+    const auto others = aShard.group->AllBut(aShard.allowed);
+    aAvoid.insert(aAvoid.end(), others.begin(), others.end());
   }
+  return mContext.servers.Choose(
+    *aShard.group, mServerRequest->view, aAvoid, aNow);
+}
 
-  /// Takes the merged records of a partial query; false when the answer is
-  /// none.
-  bool TakeMerged(const Batch& aBatch, ResponseMessage& aResponse)
-  {
-    const auto parts = DecodePartialParts(aResponse);
-    std::vector<std::size_t> asked;
-    for (const auto& it : aBatch.shards) {
-      asked.push_back(it.shard);
-    }
-    std::vector<std::size_t> included;
-    if (!parts || !mShards.TakeMerged(
-                    asked, *parts, std::move(aResponse.body()), included)) {
-      return false;
-    }
-    const auto now = steady_clock::now();
-    for (const auto n : included) {
-      ReleaseShard(mShards[n], now, false);
-    }
+bool FanoutExchange::TakeRepeat(ShardState& aShard, TimePoint aNow)
+{
+  if (!aShard.arrived && !aShard.HasLeft()) {
+    // Nothing has left for a server yet: this send replaces the others.
+    ReleaseShard(aShard, aNow, false);
+    return true;
+  }
+  if (aShard.group->repeats.TryTake(
+        Process().settings.repeats, Process().shares.Divisor(), aNow)) {
     return true;
   }
+  Process().metrics.Add(process::Counter::RepeatsDenied);
+  ++mDenied;
+  return false;
+}
 
-  /// The first arrival is free; others draw on the group's repeats.
-  bool TakeRepeat(ShardState& aShard, TimePoint aNow)
-  {
-    if (!aShard.arrived && !aShard.HasLeft()) {
-      // Nothing has left for a server yet: this send replaces the others.
-      ReleaseShard(aShard, aNow, false);
-      return true;
-    }
-    if (aShard.group->repeats.TryTake(
-          Process().settings.repeats, Process().shares.Divisor(), aNow)) {
-      return true;
-    }
-    Process().metrics.Add(process::Counter::RepeatsDenied);
-    ++mDenied;
-    return false;
+void FanoutExchange::Dispatch(std::size_t aShard,
+                              const std::shared_ptr<BackendServer>& aServer,
+                              TimePoint aNow)
+{
+  auto& shard = mShards[aShard];
+  ++shard.sends;
+  ++mSends;
+  const auto slot = ++mSlots;
+  shard.avoid.push_back(aServer.get());
+  shard.running.push_back(ShardAttempt{ aServer, nullptr, slot });
+  auto attempt =
+    aServer->Send(mServerRequest,
+                  [self = shared_from_this(), aShard, slot](
+                    auto aResult, auto aFault, ResponseMessage* aResponse) {
+                    self->OnAttempt(aShard, slot, aResult, aFault, aResponse);
+                  });
+  const auto it = shard.FindRunning(slot);
+  if (it != shard.running.end()) {
+    it->attempt = std::move(attempt);
+    shard.hedgeAt =
+      aNow + FromMilliseconds(std::max(
+               kHedgeFloorMs, kHedgeFactor * mServerRequest->view.typicalMs));
   }
+}
 
-  void Dispatch(std::size_t aShard,
-                const std::shared_ptr<BackendServer>& aServer,
-                TimePoint aNow)
-  {
-    auto& shard = mShards[aShard];
-    ++shard.sends;
-    ++mSends;
-    const auto slot = ++mSlots;
-    shard.avoid.push_back(aServer.get());
-    shard.running.push_back(ShardAttempt{ aServer, nullptr, slot });
-    auto attempt =
-      aServer->Send(mServerRequest,
-                    [self = shared_from_this(), aShard, slot](
-                      auto aResult, auto aFault, ResponseMessage* aResponse) {
-                      self->OnAttempt(aShard, slot, aResult, aFault, aResponse);
-                    });
-    const auto it = shard.FindRunning(slot);
-    if (it != shard.running.end()) {
-      it->attempt = std::move(attempt);
-      shard.hedgeAt =
-        aNow + FromMilliseconds(std::max(
-                 kHedgeFloorMs, kHedgeFactor * mServerRequest->view.typicalMs));
+void FanoutExchange::OnAttempt(std::size_t aShard,
+                               unsigned aSlot,
+                               AttemptResult aResult,
+                               AttemptFault aFault,
+                               ResponseMessage* aResponse)
+{
+  auto& shard = mShards[aShard];
+  const auto it = shard.FindRunning(aSlot);
+  if (!mReply || it == shard.running.end()) {
+    return;
+  }
+  const auto running = std::move(*it);
+  shard.running.erase(it);
+  if (aResult != AttemptResult::NotRun) {
+    shard.NoteRan(running.server.get());
+  }
+  if (aResult != AttemptResult::NotRun || aFault == AttemptFault::Refused ||
+      aFault == AttemptFault::OtherServer) {
+    shard.arrived = true;
+  }
+  if (aResult == AttemptResult::Answered && TakePart(aShard, *aResponse)) {
+    if (running.attempt) {
+      mContext.latency.Add(*mRequest.route,
+                           steady_clock::now() - running.attempt->sentAt);
     }
+    ReleaseShard(shard, steady_clock::now(), false);
+  } else {
+    Process().log.Write(
+      "attempt_failed",
+      { { "request", mRequest.caller.requestId },
+        { "server", running.server->Record().id },
+        { "fault", Name(aFault) },
+        { "status",
+          static_cast<std::int64_t>(
+            aResponse != nullptr ? aResponse->result_int() : 0) } });
+    TrySend(aShard, steady_clock::now());
+  }
+  if (!mStarting) {
+    Advance();
   }
+}
 
-  void OnAttempt(std::size_t aShard,
-                 unsigned aSlot,
-                 AttemptResult aResult,
-                 AttemptFault aFault,
-                 ResponseMessage* aResponse)
-  {
-    auto& shard = mShards[aShard];
-    const auto it = shard.FindRunning(aSlot);
-    if (!mReply || it == shard.running.end()) {
-      return;
-    }
-    const auto running = std::move(*it);
-    shard.running.erase(it);
-    if (aResult != AttemptResult::NotRun) {
-      shard.NoteRan(running.server.get());
-    }
-    if (aResult != AttemptResult::NotRun || aFault == AttemptFault::Refused ||
-        aFault == AttemptFault::OtherServer) {
-      shard.arrived = true;
-    }
-    if (aResult == AttemptResult::Answered && TakePart(aShard, *aResponse)) {
-      if (running.attempt) {
-        mContext.latency.Add(*mRequest.route,
-                             steady_clock::now() - running.attempt->sentAt);
-      }
-      ReleaseShard(shard, steady_clock::now(), false);
-    } else {
-      Process().log.Write(
-        "attempt_failed",
-        { { "request", mRequest.caller.requestId },
-          { "server", running.server->Record().id },
-          { "fault", Name(aFault) },
-          { "status",
-            static_cast<std::int64_t>(
-              aResponse != nullptr ? aResponse->result_int() : 0) } });
-      TrySend(aShard, steady_clock::now());
-    }
-    if (!mStarting) {
-      Advance();
-    }
+bool FanoutExchange::TakePart(std::size_t aShard, ResponseMessage& aResponse)
+{
+  const auto signature = aResponse[Process().settings.headers.signature];
+  if (aResponse.result_int() / 100 != 2 || signature.empty()) {
+    return false;
   }
+  mShards.TakePart(aShard, std::string(signature), std::move(aResponse.body()));
+  return true;
+}
 
-  /// Takes a shard's answer; false when it is none: a failure, or an answer
-  /// without a signature.
-  bool TakePart(std::size_t aShard, ResponseMessage& aResponse)
-  {
-    const auto signature = aResponse[Process().settings.headers.signature];
-    if (aResponse.result_int() / 100 != 2 || signature.empty()) {
-      return false;
+void FanoutExchange::ReleaseShard(ShardState& aShard,
+                                  TimePoint aNow,
+                                  bool aCallerLeft)
+{
+  for (const auto& it : std::exchange(aShard.running, {})) {
+    if (it.attempt) {
+      it.server->Release(it.attempt, ReleaseTime(mRequest, aCallerLeft, aNow));
     }
-    mShards.TakePart(
-      aShard, std::string(signature), std::move(aResponse.body()));
-    return true;
   }
+}
 
-  void ReleaseShard(ShardState& aShard, TimePoint aNow, bool aCallerLeft)
-  {
-    for (const auto& it : std::exchange(aShard.running, {})) {
-      if (it.attempt) {
-        it.server->Release(it.attempt,
-                           ReleaseTime(mRequest, aCallerLeft, aNow));
-      }
-    }
+void FanoutExchange::Advance()
+{
+  if (!mReply) {
+    return;
+  }
+  const auto now = steady_clock::now();
+  if (mShards.Complete() ||
+      (mShards.Done() >= mNeeded && now >= mSoftDeadline)) {
+    FinishMerged();
+    return;
+  }
+  if (now >= mRequest.deadline - kAnswerMargin) {
+    FinishShort("timeout");
+    return;
+  }
+  auto next = mRequest.deadline - kAnswerMargin;
+  if (now < mSoftDeadline) {
+    next = std::min(next, mSoftDeadline);
+  }
+  SendDue(now);
+  if (!mReply) {
+    return; // a send has ended the exchange
   }
+  bool waiting = false;
+  bool possible = false;
+  for (const auto& shard : mShards) {
+    if (shard.done) {
+      continue;
+    }
+    waiting = waiting || !shard.running.empty();
+    possible = possible || shard.retryAt != TimePoint::max();
+    next = std::min(next, shard.NextTime());
+  }
+  if (!waiting && mShards.Done() >= mNeeded) {
+    // The rest has no server that may be asked now.
+    FinishMerged();
+    return;
+  }
+  if (!waiting && !possible) {
+    FinishShort("no_attempt_left");
+    return;
+  }
+  ArmTimer(next);
+}
 
-  /// Ends the exchange where that is due, and otherwise sends what is due.
-  void Advance()
-  {
-    if (!mReply) {
-      return;
-    }
-    const auto now = steady_clock::now();
-    if (mShards.Complete() ||
-        (mShards.Done() >= mNeeded && now >= mSoftDeadline)) {
-      FinishMerged();
-      return;
-    }
-    if (now >= mRequest.deadline - kAnswerMargin) {
-      FinishShort("timeout");
-      return;
-    }
-    auto next = mRequest.deadline - kAnswerMargin;
-    if (now < mSoftDeadline) {
-      next = std::min(next, mSoftDeadline);
-    }
-    SendDue(now);
-    if (!mReply) {
-      return; // a send has ended the exchange
-    }
-    bool waiting = false;
-    bool possible = false;
-    for (const auto& shard : mShards) {
-      if (shard.done) {
-        continue;
-      }
-      waiting = waiting || !shard.running.empty();
-      possible = possible || shard.retryAt != TimePoint::max();
-      next = std::min(next, shard.NextTime());
-    }
-    if (!waiting && mShards.Done() >= mNeeded) {
-      // The rest has no server that may be asked now.
-      FinishMerged();
-      return;
-    }
-    if (!waiting && !possible) {
-      FinishShort("no_attempt_left");
-      return;
+void FanoutExchange::SendDue(TimePoint aNow)
+{
+  std::vector<std::size_t> hedges;
+  for (std::size_t n = 0; n < mShards.size(); ++n) {
+    const auto& shard = mShards[n];
+    if (shard.done) {
+      continue;
     }
-    ArmTimer(next);
-  }
-
-  /// Sends what is due: the first server of shards that had none, a second one
-  /// of shards that wait.
-  void SendDue(TimePoint aNow)
-  {
-    std::vector<std::size_t> hedges;
-    for (std::size_t n = 0; n < mShards.size(); ++n) {
-      const auto& shard = mShards[n];
-      if (shard.done) {
-        continue;
-      }
-      if (shard.hedgeAt <= aNow && !shard.running.empty()) {
-        hedges.push_back(n);
-      } else if (shard.running.empty() && shard.retryAt <= aNow) {
-        TrySend(n, aNow);
-      }
+    if (shard.hedgeAt <= aNow && !shard.running.empty()) {
+      hedges.push_back(n);
+    } else if (shard.running.empty() && shard.retryAt <= aNow) {
+      TrySend(n, aNow);
     }
-    SendHedges(hedges, aNow);
   }
+  SendHedges(hedges, aNow);
+}
 
-  void ArmTimer(TimePoint aWhen)
-  {
-    if (mTimer.id != 0 && mTimer.when == aWhen) {
-      return;
-    }
-    Process().timers.Cancel(mTimer);
-    mTimer = Process().timers.At(aWhen, [self = shared_from_this()] {
-      self->mTimer = {};
-      self->Advance();
-    });
+void FanoutExchange::ArmTimer(TimePoint aWhen)
+{
+  if (mTimer.id != 0 && mTimer.when == aWhen) {
+    return;
   }
+  Process().timers.Cancel(mTimer);
+  mTimer = Process().timers.At(aWhen, [self = shared_from_this()] {
+    self->mTimer = {};
+    self->Advance();
+  });
+}
 
-  void FinishMerged()
-  {
-    CallerReply reply;
-    reply.headers =
-      mIsPartial ? EncodePartialParts(mShards.Parts()) : CoverageHeaders();
-    reply.body = mShards.Merge(mRequest.route->topRecords);
-    if (!mIsPartial) {
-      Process().metrics.Add(mShards.Complete()
-                              ? process::Counter::QueriesWhole
-                              : process::Counter::QueriesPartial);
-    }
-    Finish(std::move(reply), "merged");
-  }
-
-  [[nodiscard]] std::string CoverageHeaders()
-  {
-    const auto& names = Process().settings.headers;
-    return fmt::format("{}: {}\r\n{}: {}\r\n",
-                       names.partSignatures,
-                       mShards.Signatures(),
-                       names.missingShards,
-                       mShards.size() - mShards.Done());
-  }
-
-  void FinishShort(std::string_view aCause)
-  {
-    Process().metrics.Add(process::Counter::QueriesFailed);
-    const bool gathered =
-      std::any_of(mBatches.begin(), mBatches.end(), [](const auto& aIt) {
-        return aIt.second.attempt && aIt.second.attempt->sent;
-      });
-    const bool ran = gathered || mShards.AnyMayHaveArrived();
-    Finish(ran ? OwnReply(504, "too few shards answered in time")
-               : RefusedReply("too few shards have a server", kRetryAfter),
-           aCause);
-  }
-
-  void Finish(CallerReply aReply, std::string_view aCause)
-  {
-    auto reply = std::exchange(mReply, nullptr);
-    const auto took = steady_clock::now() - mRequest.caller.received;
-    if (!mIsPartial) {
-      Process().metrics.ObserveQuery(Milliseconds(took) / 1000);
-    }
-    if (!mShards.Complete() || took >= mRequest.route->objective) {
-      LogEnd(aReply.status, aCause, took);
-    }
-    Stop(false);
-    reply(std::move(aReply));
+void FanoutExchange::FinishMerged()
+{
+  CallerReply reply;
+  reply.headers =
+    mIsPartial ? EncodePartialParts(mShards.Parts()) : CoverageHeaders();
+  reply.body = mShards.Merge(mRequest.route->topRecords);
+  if (!mIsPartial) {
+    Process().metrics.Add(mShards.Complete()
+                            ? process::Counter::QueriesWhole
+                            : process::Counter::QueriesPartial);
   }
+  Finish(std::move(reply), "merged");
+}
 
-  void LogEnd(unsigned aStatus, std::string_view aCause, Duration aTook)
-  {
-    Process().log.Write(
-      mIsPartial ? "partial_end" : "request_end",
-      { { "request", mRequest.caller.requestId },
-        { "route", mRequest.route->name },
-        { "version", static_cast<std::int64_t>(mRequest.version) },
-        { "status", static_cast<std::int64_t>(aStatus) },
-        { "cause", aCause },
-        { "shards", static_cast<std::int64_t>(mShards.size()) },
-        { "done", static_cast<std::int64_t>(mShards.Done()) },
-        { "missing", mShards.Missing() },
-        { "sends", static_cast<std::int64_t>(mSends) },
-        { "repeats_denied", static_cast<std::int64_t>(mDenied) },
-        { "typical_ms", mServerRequest->view.typicalMs },
-        { "took_ms", Milliseconds(aTook) } });
-  }
-
-  void Stop(bool aCallerLeft)
-  {
-    Process().timers.Cancel(mTimer);
-    const auto now = steady_clock::now();
-    for (auto& it : mShards) {
-      ReleaseShard(it, now, aCallerLeft);
-    }
-    for (const auto& [slot, batch] : std::exchange(mBatches, {})) {
-      if (batch.attempt) {
-        batch.peer->Release(batch.attempt,
-                            ReleaseTime(mRequest, aCallerLeft, now));
-      }
-    }
+std::string FanoutExchange::CoverageHeaders()
+{
+  const auto& names = Process().settings.headers;
+  return fmt::format("{}: {}\r\n{}: {}\r\n",
+                     names.partSignatures,
+                     mShards.Signatures(),
+                     names.missingShards,
+                     mShards.size() - mShards.Done());
+}
+
+void FanoutExchange::FinishShort(std::string_view aCause)
+{
+  Process().metrics.Add(process::Counter::QueriesFailed);
+  const bool gathered =
+    std::any_of(mBatches.begin(), mBatches.end(), [](const auto& aIt) {
+      return aIt.second.attempt && aIt.second.attempt->sent;
+    });
+  const bool ran = gathered || mShards.AnyMayHaveArrived();
+  Finish(ran ? OwnReply(504, "too few shards answered in time")
+             : RefusedReply("too few shards have a server", kRetryAfter),
+         aCause);
+}
+
+void FanoutExchange::Finish(CallerReply aReply, std::string_view aCause)
+{
+  auto reply = std::exchange(mReply, nullptr);
+  const auto took = steady_clock::now() - mRequest.caller.received;
+  if (!mIsPartial) {
+    Process().metrics.ObserveQuery(Milliseconds(took) / 1000);
+  }
+  if (!mShards.Complete() || took >= mRequest.route->objective) {
+    LogEnd(aReply.status, aCause, took);
   }
+  Stop(false);
+  reply(std::move(aReply));
+}
 
-  ExchangeContext mContext;
-  RoutedRequest mRequest;
-  ReplyHandler mReply;
-  std::shared_ptr<ServerRequest> mServerRequest;
-  /// From here on an answer with the least coverage leaves at once.
-  TimePoint mSoftDeadline;
-  /// It gathers a part of another instance's query.
-  bool mIsPartial;
-  /// The asking instance has paid for the sends from its share of repeats.
-  bool mIsRepeat = false;
-  ShardSet mShards;
-  std::map<unsigned, Batch> mBatches;
-  std::size_t mNeeded = 1;
-  unsigned mSlots = 0;
-  unsigned mSends = 0;
-  unsigned mDenied = 0;
-  bool mStarting = false;
-  TimerQueue::Handle mTimer;
-};
+void FanoutExchange::LogEnd(unsigned aStatus,
+                            std::string_view aCause,
+                            Duration aTook)
+{
+  Process().log.Write(
+    mIsPartial ? "partial_end" : "request_end",
+    { { "request", mRequest.caller.requestId },
+      { "route", mRequest.route->name },
+      { "version", static_cast<std::int64_t>(mRequest.version) },
+      { "status", static_cast<std::int64_t>(aStatus) },
+      { "cause", aCause },
+      { "shards", static_cast<std::int64_t>(mShards.size()) },
+      { "done", static_cast<std::int64_t>(mShards.Done()) },
+      { "missing", mShards.Missing() },
+      { "sends", static_cast<std::int64_t>(mSends) },
+      { "repeats_denied", static_cast<std::int64_t>(mDenied) },
+      { "typical_ms", mServerRequest->view.typicalMs },
+      { "took_ms", Milliseconds(aTook) } });
+}
 
-} // namespace
+void FanoutExchange::Stop(bool aCallerLeft)
+{
+  Process().timers.Cancel(mTimer);
+  const auto now = steady_clock::now();
+  for (auto& it : mShards) {
+    ReleaseShard(it, now, aCallerLeft);
+  }
+  for (const auto& [slot, batch] : std::exchange(mBatches, {})) {
+    if (batch.attempt) {
+      batch.peer->Release(batch.attempt,
+                          ReleaseTime(mRequest, aCallerLeft, now));
+    }
+  }
+}
 
 std::shared_ptr<Exchange> StartFanoutExchange(const ExchangeContext& aContext,
                                               RoutedRequest aRequest,
--- a/tests/gateway/withdrawal_test.cpp
+++ b/tests/gateway/withdrawal_test.cpp
@@ -7,17 +7,35 @@
 namespace {
 
 using process::Gauge;
-using std::chrono::steady_clock;
 
-/// A server that answers after a while.
-ScriptedServer::Script Slow()
+/// A gateway with a request in progress at its only server, which answers after
+/// a while.
+struct Busy : World
 {
-  return [](auto&) {
-    Reaction reaction{ Response(200, "X-Signature: s\r\n", "ok") };
-    reaction.delay = milliseconds(150);
-    return reaction;
-  };
-}
+  Busy()
+    : server(process.context, [](auto&) {
+      Reaction reaction{ Response(200, "X-Signature: s\r\n", "ok") };
+      reaction.delay = milliseconds(150);
+      return reaction;
+    })
+  {
+    AddServer("s-0", "g0", server.Address());
+    Publish({ SingleRoute(Repeatability::Idempotent) });
+    exchange = gateway.Handle(Request("/one/a"), [this](CallerReply aReply) {
+      reply = std::move(aReply);
+    });
+    RunUntil([this] { return !server.Requests().empty(); });
+  }
+
+  [[nodiscard]] double Value(Gauge aGauge) const
+  {
+    return process.metrics.Value(aGauge);
+  }
+
+  ScriptedServer server;
+  std::optional<CallerReply> reply;
+  std::shared_ptr<Exchange> exchange;
+};
 
 } // namespace
 
@@ -25,22 +43,13 @@
 // runs under the version of before.
 TEST(Withdrawal, AVersionRetiresWithItsLastRequest)
 {
-  World world;
-  ScriptedServer server(world.process.context, Slow());
-  world.AddServer("s-0", "g0", server.Address());
-  world.Publish({ World::SingleRoute(Repeatability::Idempotent) });
-  std::optional<CallerReply> reply;
-  auto exchange =
-    world.gateway.Handle(World::Request("/one/a"), [&](CallerReply aReply) {
-      reply = std::move(aReply);
-    });
-  world.RunUntil([&] { return !server.Requests().empty(); });
+  Busy world;
   world.Publish({});
-  EXPECT_EQ(world.process.metrics.Value(Gauge::FormerVersions), 1);
-  world.RunUntil([&] { return reply.has_value(); });
-  EXPECT_EQ(reply->status, 200U);
-  exchange.reset();
-  EXPECT_EQ(world.process.metrics.Value(Gauge::FormerVersions), 0);
+  EXPECT_EQ(world.Value(Gauge::FormerVersions), 1);
+  world.RunUntil([&] { return world.reply.has_value(); });
+  EXPECT_EQ(world.reply->status, 200U);
+  world.exchange.reset();
+  EXPECT_EQ(world.Value(Gauge::FormerVersions), 0);
 }
 
 // Guards against versions that never retire, or that retire without a trace.
@@ -56,23 +65,11 @@
 // its servers still runs a request.
 TEST(Withdrawal, ADomainIsQuietWithItsLastRequest)
 {
-  World world;
-  ScriptedServer server(world.process.context, Slow());
-  world.AddServer("s-0", "g0", server.Address());
-  world.Publish({ World::SingleRoute(Repeatability::Idempotent) });
-  std::optional<CallerReply> reply;
-  const auto exchange =
-    world.gateway.Handle(World::Request("/one/a"), [&](CallerReply aReply) {
-      reply = std::move(aReply);
-    });
-  world.RunUntil([&] { return !server.Requests().empty(); });
+  Busy world;
   world.servers.SetWithdrawn("fd-a", true);
-  const auto left = [&] {
-    return world.process.metrics.Value(Gauge::WithdrawnInFlight);
-  };
-  EXPECT_EQ(left(), 1);
-  world.RunUntil([&] { return left() == 0; });
-  EXPECT_TRUE(reply.has_value());
+  EXPECT_EQ(world.Value(Gauge::WithdrawnInFlight), 1);
+  world.RunUntil([&] { return world.Value(Gauge::WithdrawnInFlight) == 0; });
+  EXPECT_TRUE(world.reply.has_value());
 }
 
 } // namespace bronzedeal::gateway::test
