--- a/src/gateway/route_codec.cpp
+++ b/src/gateway/route_codec.cpp
@@ -6,7 +6,9 @@
 
 namespace boost::json {
 
-// Found through the tags, which belong to this namespace.
+// Found through the tags, which belong to this namespace; the library gives the
+// name.
+// NOLINTBEGIN(readability-identifier-naming)
 static void tag_invoke(value_from_tag /*unused*/,
                        value& aValue,
                        const std::chrono::milliseconds& aTime)
@@ -20,6 +22,7 @@
 {
   return std::chrono::milliseconds(aValue.to_number<std::int64_t>());
 }
+// NOLINTEND(readability-identifier-naming)
 
 } // namespace boost::json
 
