--- a/tests/gateway/follower_test.cpp
+++ b/tests/gateway/follower_test.cpp
@@ -114,8 +114,10 @@
 {
   Following world;
   world.process.settings.drainBound = std::chrono::seconds(20);
+  constexpr std::size_t kMany = 20;
   std::vector<Change> many;
-  for (int n = 0; n < 20; ++n) {
+  many.reserve(kMany);
+  for (std::size_t n = 0; n < kMany; ++n) {
     many.emplace_back(ServerChanged{ Record("s-" + std::to_string(n)) });
   }
   world.source.replies = { Reply(1), Reply(2, many) };
