End work that nobody waits for within 250 ms over all hops

Three paths, each with a test that failed first: attempts that had lost against a hedge were forgotten and ran until the request's deadline; an instance that had sent its partial answer left its own unanswered attempts running as long; and on the caller's leaving each hop waited 250 ms in turn, the entry instance before it closed the connection to the gathering one. Change: LateResponseDeadline is at most 250 ms from the moment at which a result is no longer needed, whatever the reason; partial queries are cancelled at once when the caller leaves, so that the gathering instance grants the time.

--- a/include/bronzedeal/gateway/exchange.hpp
+++ b/include/bronzedeal/gateway/exchange.hpp
@@ -71,10 +71,10 @@
   const ExchangeContext& aContext,
   const RoutedRequest& aRequest);
 
-/// Time until which an attempt may stay open after its exchange has ended. A
+/// Time until which an attempt may stay open whose result is no longer needed:
+/// another attempt has answered, the reply was sent, or the caller has left. A
 /// late response is dropped, but leaves the connection reusable.
 [[nodiscard]] TimePoint LateResponseDeadline(const RoutedRequest& aRequest,
-                                             bool aCallerDisconnected,
                                              TimePoint aNow) noexcept;
 
 /// Sends the request to one server of the group, and retries or hedges on
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -13,10 +13,10 @@
 /// estimate converges to the median, which a minority of slow servers does not
 /// shift.
 constexpr double kMedianStep = 0.01;
-/// Requests may run at servers for this long after the caller has disconnected.
-/// It is below half a second, and most requests finish within it, so that their
-/// connections stay reusable.
-constexpr auto kMaxRunAfterDisconnect = milliseconds(250);
+/// An attempt whose result nobody needs may run for this long. Most finish
+/// within it, so that their connections stay reusable. It is below half a
+/// second, the bound on work for callers that have left.
+constexpr auto kMaxUnneededRunTime = milliseconds(250);
 /// Servers answer on their own around the deadline. Waiting this long for the
 /// late response keeps the connection reusable.
 constexpr auto kLateResponseWindow = milliseconds(100);
@@ -65,12 +65,10 @@
 }
 
 TimePoint LateResponseDeadline(const RoutedRequest& aRequest,
-                               bool aCallerDisconnected,
                                TimePoint aNow) noexcept
 {
-  const auto cutoff = aRequest.deadline + kLateResponseWindow;
-  return aCallerDisconnected ? std::min(cutoff, aNow + kMaxRunAfterDisconnect)
-                             : cutoff;
+  return std::min(aRequest.deadline + kLateResponseWindow,
+                  aNow + kMaxUnneededRunTime);
 }
 
 } // namespace bronzedeal::gateway
--- a/src/gateway/fanout_batches.cpp
+++ b/src/gateway/fanout_batches.cpp
@@ -212,7 +212,7 @@
   }
   const auto now = steady_clock::now();
   for (const auto n : included) {
-    DetachAttempts(mShards[n], now, false);
+    DetachAttempts(mShards[n], now);
   }
   return true;
 }
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -111,7 +111,11 @@
 {
   mReply = nullptr;
   Process().metrics.Add(process::Counter::CallersLeft);
-  Stop(true);
+  const auto now = steady_clock::now();
+  // The gathering instance grants its attempts the time to finish, so its
+  // connection closes at once: the time counts once for all hops.
+  DetachBatches(now);
+  Stop(now);
 }
 
 std::size_t FanoutExchange::CountReachableShards(TimePoint aNow)
@@ -201,7 +205,7 @@
 {
   if (!aShard.reachedServer && !aShard.HasSentAttempt()) {
     // No attempt has been sent yet: this send replaces the queued ones.
-    DetachAttempts(aShard, aNow, false);
+    DetachAttempts(aShard, aNow);
     return true;
   }
   if (aShard.group->retryBudget.TryAcquire(Process().settings.retryLimits,
@@ -265,7 +269,7 @@
       mContext.latency.AddSample(*mRequest.route,
                                  steady_clock::now() - running.attempt->sentAt);
     }
-    DetachAttempts(shard, steady_clock::now(), false);
+    DetachAttempts(shard, steady_clock::now());
   } else {
     Process().log.Write(
       "attempt_failed",
@@ -294,14 +298,11 @@
   return true;
 }
 
-void FanoutExchange::DetachAttempts(ShardState& aShard,
-                                    TimePoint aNow,
-                                    bool aCallerDisconnected)
+void FanoutExchange::DetachAttempts(ShardState& aShard, TimePoint aNow)
 {
   for (const auto& it : std::exchange(aShard.attempts, {})) {
     if (it.attempt) {
-      it.server->Detach(
-        it.attempt, LateResponseDeadline(mRequest, aCallerDisconnected, aNow));
+      it.server->Detach(it.attempt, LateResponseDeadline(mRequest, aNow));
     }
   }
 }
@@ -427,7 +428,7 @@
   if (!mShards.IsComplete() || elapsed >= mRequest.route->objective) {
     LogRequestEnd(aReply.status, aCause, elapsed);
   }
-  Stop(false);
+  Stop(steady_clock::now());
   reply(std::move(aReply));
 }
 
@@ -451,18 +452,20 @@
       { "took_ms", Milliseconds(aElapsed) } });
 }
 
-void FanoutExchange::Stop(bool aCallerDisconnected)
+void FanoutExchange::Stop(TimePoint aNow)
 {
   Process().timers.Cancel(mTimer);
-  const auto now = steady_clock::now();
   for (auto& it : mShards) {
-    DetachAttempts(it, now, aCallerDisconnected);
+    DetachAttempts(it, aNow);
   }
+  DetachBatches(LateResponseDeadline(mRequest, aNow));
+}
+
+void FanoutExchange::DetachBatches(TimePoint aUntil)
+{
   for (const auto& [attemptId, batch] : std::exchange(mBatches, {})) {
     if (batch.attempt) {
-      batch.peer->Detach(
-        batch.attempt,
-        LateResponseDeadline(mRequest, aCallerDisconnected, now));
+      batch.peer->Detach(batch.attempt, aUntil);
     }
   }
 }
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -141,9 +141,11 @@
   bool RecordAnswer(std::size_t aShard, ResponseMessage& aResponse);
 
   /// Detaches all attempts of the shard that are in progress.
-  void DetachAttempts(ShardState& aShard,
-                      TimePoint aNow,
-                      bool aCallerDisconnected);
+  void DetachAttempts(ShardState& aShard, TimePoint aNow);
+
+  /// Detaches all partial queries in progress; their connections close at
+  /// `aUntil`, which cancels them at the gathering instances.
+  void DetachBatches(TimePoint aUntil);
 
   /// Ends the exchange if it is complete, late or out of attempts; else sends
   /// due retries and hedges and arms the timer for the next step.
@@ -171,7 +173,8 @@
                      std::string_view aCause,
                      Duration aElapsed);
 
-  void Stop(bool aCallerDisconnected);
+  /// Ends all attempts and partial queries in progress.
+  void Stop(TimePoint aNow);
 
   ExchangeContext mContext;
   RoutedRequest mRequest;
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -60,7 +60,7 @@
   {
     mReply = nullptr;
     Process().metrics.Add(process::Counter::CallersLeft);
-    Stop(true);
+    Stop();
   }
 
 private:
@@ -303,7 +303,7 @@
     } else {
       // Detach the unsent attempts first: a refusal promises that the request
       // has not run, so none of them may be sent later.
-      Stop(false);
+      Stop();
       Finish(RefusedReply("no server could take the request", kRetryAfter),
              aCause);
     }
@@ -340,17 +340,16 @@
           { "repeats_denied", static_cast<std::int64_t>(mDeniedRetries) },
           { "took_ms", Milliseconds(elapsed) } });
     }
-    Stop(false);
+    Stop();
     reply(std::move(aReply));
   }
 
-  void Stop(bool aCallerDisconnected)
+  void Stop()
   {
     Process().timers.Cancel(mDeadlineTimer);
     Process().timers.Cancel(mHedgeTimer);
     Process().timers.Cancel(mRetryTimer);
-    const auto until =
-      LateResponseDeadline(mRequest, aCallerDisconnected, steady_clock::now());
+    const auto until = LateResponseDeadline(mRequest, steady_clock::now());
     for (auto& [attemptId, running] : std::exchange(mAttempts, {})) {
       if (running.attempt) {
         running.server->Detach(running.attempt, until);
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -419,4 +419,33 @@
   EXPECT_EQ(light.Requests().size(), 2U);
 }
 
+// Guards against a server working on for a caller that has left, because its
+// attempt had lost against a hedge before.
+TEST(FanoutExchange, StopsAnAttemptThatLostAgainstAHedge)
+{
+  TestGateway fixture;
+  const auto silent = [](auto&) {
+    return Reaction{ "", {}, false, false, true };
+  };
+  ScriptedServer slow(fixture.process.context, silent);
+  ScriptedServer hedge(fixture.process.context,
+                       [](auto&) { return ShardAnswer("p0", Record('a')); });
+  ScriptedServer unanswered(fixture.process.context, silent);
+  fixture.AddServer("s-0", "g0", slow.Address());
+  fixture.AddServer("s-1", "g0", hedge.Address(), "fd-b");
+  fixture.AddServer("s-2", "g1", unanswered.Address());
+  auto route = TestGateway::FanoutRoute({ "g0", "g1" }, 1);
+  route.timeout = std::chrono::seconds(60);
+  fixture.Publish({ route });
+  const auto exchange =
+    fixture.gateway.Handle(TestGateway::Request("/all/x"), [](auto) {});
+  fixture.RunUntil([&] { return hedge.Requests().size() == 1; });
+  const auto winner = fixture.servers.Find("s-1");
+  fixture.RunUntil([&] { return winner->InFlightCount() == 0; });
+  exchange->Cancel();
+  const auto loser = fixture.servers.Find("s-0");
+  fixture.RunUntil([&] { return loser->InFlightCount() == 0; });
+  EXPECT_EQ(loser->InFlightCount(), 0U);
+}
+
 } // namespace bronzedeal::gateway::test
--- a/tests/gateway/partial_test.cpp
+++ b/tests/gateway/partial_test.cpp
@@ -284,4 +284,77 @@
   EXPECT_FALSE(DecodePartialQuery(request));
 }
 
+// Guards against servers that work on for a caller that has left, because the
+// instance that gathered their shards has already sent its partial answer
+// (scale-1 of ondt-devis-large: 24 of 25 requests ran on).
+TEST(PartialQuery, StopsLeftoverAttemptsOnceThePartialAnswerIsSent)
+{
+  TwoDomainGateway fixture;
+  const auto silent = [](auto&) {
+    return Reaction{ "", {}, false, false, true };
+  };
+  ScriptedServer far1(fixture.process.context, ShardAnswer("p1", 'c'));
+  ScriptedServer far2(fixture.process.context, silent);
+  fixture.AddServer("s-1", "g1", far1.Address(), "fd-b");
+  fixture.AddServer("s-2", "g2", far2.Address(), "fd-b");
+  auto route = TestGateway::FanoutRoute({ "g1", "g2" }, 1);
+  route.timeout = std::chrono::seconds(60);
+  route.maxAttempts = 1;
+  fixture.Publish({ route });
+  const auto exchange =
+    fixture.gateway.Handle(TestGateway::Request("/all/x"), [](auto) {});
+  fixture.RunUntil([&] { return far1.Requests().size() == 1; });
+  const auto softDeadline = std::chrono::steady_clock::now() + route.objective;
+  fixture.RunUntil(
+    [&] { return std::chrono::steady_clock::now() > softDeadline; });
+  exchange->Cancel();
+  const auto server = fixture.servers.Find("s-2");
+  fixture.RunUntil([&] { return server->InFlightCount() == 0; });
+  EXPECT_EQ(server->InFlightCount(), 0U);
+}
+
+// Guards against waiting once on each hop after the caller has left: the
+// gathering instance must learn it while this instance's own attempts are still
+// within their time to finish.
+TEST(PartialQuery, CancelsPartialQueriesAtOnceWhenTheCallerLeaves)
+{
+  std::optional<std::size_t> inFlightAtCancel;
+  struct RecordingExchange : Exchange
+  {
+    explicit RecordingExchange(std::function<void()> aOnCancel)
+      : onCancel(std::move(aOnCancel))
+    {
+    }
+    void Cancel() override { onCancel(); }
+    std::function<void()> onCancel;
+  };
+  ServerRegistry* servers = nullptr;
+  unsigned partialQueries = 0;
+  TwoDomainGateway fixture([&](const CallerRequest&, const ReplyHandler&) {
+    ++partialQueries;
+    return std::make_shared<RecordingExchange>(
+      [&] { inFlightAtCancel = servers->Find("s-0")->InFlightCount(); });
+  });
+  servers = &fixture.servers;
+  const auto silent = [](auto&) {
+    return Reaction{ "", {}, false, false, true };
+  };
+  ScriptedServer near(fixture.process.context, silent);
+  ScriptedServer far1(fixture.process.context, silent);
+  ScriptedServer far2(fixture.process.context, silent);
+  fixture.AddServer("s-0", "g0", near.Address());
+  fixture.AddServer("s-1", "g1", far1.Address(), "fd-b");
+  fixture.AddServer("s-2", "g2", far2.Address(), "fd-b");
+  auto route = TestGateway::FanoutRoute({ "g0", "g1", "g2" }, 1);
+  route.maxAttempts = 1;
+  fixture.Publish({ route });
+  const auto exchange =
+    fixture.gateway.Handle(TestGateway::Request("/all/x"), [](auto) {});
+  fixture.RunUntil(
+    [&] { return partialQueries == 1 && near.Requests().size() == 1; });
+  exchange->Cancel();
+  fixture.RunUntil([&] { return inFlightAtCancel.has_value(); });
+  EXPECT_EQ(inFlightAtCancel, 1U);
+}
+
 } // namespace bronzedeal::gateway::test
