--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -58,6 +58,7 @@
 #include "bronzedeal/gateway/server_record.hpp"
 #include "bronzedeal/gateway/server_registry.hpp"
 #include "bronzedeal/gateway/settings.hpp"
+#include "bronzedeal/gateway/shard_selection.hpp"
 #include "bronzedeal/gateway/shard_set.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
 #include "bronzedeal/json_fields.hpp"
--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -118,6 +118,12 @@
   /// Load, latency and failures as input for `ReplicaCost`.
   [[nodiscard]] ReplicaStats Stats(TimePoint aNow) const noexcept;
 
+  /// Records that another instance has waited in vain for an answer of the
+  /// server to a partial query of this one.
+  void OnUnansweredPartial(const RequestProfile& aRequest,
+                           Duration aWaited,
+                           TimePoint aNow);
+
   /// Number of this instance's requests in progress at the server.
   [[nodiscard]] std::size_t InFlightCount() const noexcept
   {
@@ -164,7 +170,9 @@
               AttemptFault aFault,
               ResponseMessage* aResponse);
   void FailQueued(AttemptFault aFault);
-  void AddLatencySample(const Attempt& aAttempt, TimePoint aNow);
+  void AddLatencySample(const RequestProfile& aRequest,
+                        Duration aLatency,
+                        TimePoint aNow);
   void AddOutcomeSample(bool aFailed) noexcept;
   void MarkUnreachable(std::string_view aReason);
   void ScheduleReconnect();
--- a/include/bronzedeal/gateway/replica_cost.hpp
+++ b/include/bronzedeal/gateway/replica_cost.hpp
@@ -32,6 +32,12 @@
   double objectiveMs = 100;
 };
 
+/// Time in milliseconds after which the server is expected to answer: its
+/// recent latency, the requests of this instance before it, and the rest of a
+/// pause.
+[[nodiscard]] double ExpectedLatencyMs(const ReplicaStats& aReplica,
+                                       const RequestProfile& aRequest) noexcept;
+
 /// Cost of sending the request to the server, in milliseconds: the expected
 /// latency plus penalties for likely failures and for another failure domain.
 [[nodiscard]] double ReplicaCost(const ReplicaStats& aReplica,
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -79,6 +79,12 @@
     std::size_t aCount,
     TimePoint aNow) const;
 
+  /// Expected latency in milliseconds of the fastest usable server of the
+  /// group; infinity if there is none.
+  [[nodiscard]] double ExpectedLatencyMs(const GroupState& aGroup,
+                                         const RequestProfile& aRequest,
+                                         TimePoint aNow) const;
+
   /// Returns the server of that id; null if it is unknown.
   [[nodiscard]] std::shared_ptr<BackendServer> Find(const ServerId& aId) const;
 
--- a/include/bronzedeal/gateway/shard_set.hpp
+++ b/include/bronzedeal/gateway/shard_set.hpp
@@ -44,6 +44,8 @@
   /// one: merged records can't be separated, so its records would count twice.
   bool wasBatched = false;
   bool answered = false;
+  /// Left out until the query can't get its coverage from the other shards.
+  bool skipped = false;
   /// Earliest time of the next attempt while none is in progress; the maximum
   /// when no further attempt is allowed.
   TimePoint retryAt{};
@@ -73,6 +75,9 @@
   /// Time of the next retry or hedge of an unanswered shard.
   [[nodiscard]] TimePoint NextActionTime() const noexcept
   {
+    if (skipped) {
+      return TimePoint::max();
+    }
     return attempts.empty() ? retryAt : hedgeAt;
   }
 };
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -363,12 +363,19 @@
                     });
 }
 
-void BackendServer::AddLatencySample(const Attempt& aAttempt, TimePoint aNow)
+void BackendServer::OnUnansweredPartial(const RequestProfile& aRequest,
+                                        Duration aWaited,
+                                        TimePoint aNow)
+{
+  AddLatencySample(aRequest, aWaited, aNow);
+}
+
+void BackendServer::AddLatencySample(const RequestProfile& aRequest,
+                                     Duration aLatency,
+                                     TimePoint aNow)
 {
-  const double medianMs =
-    std::max(0.5, aAttempt.request->profile.medianLatencyMs);
   const double sample =
-    std::clamp(Milliseconds(aNow - aAttempt.sentAt) / medianMs,
+    std::clamp(Milliseconds(aLatency) / std::max(0.5, aRequest.medianLatencyMs),
                kMinRelativeLatency,
                kMaxRelativeLatency);
   const double current = Stats(aNow).relativeLatency;
@@ -428,7 +435,7 @@
     Finish(aAttempt, AttemptResult::NotRun, AttemptFault::Refused, aResponse);
   } else {
     AddOutcomeSample(aResponse->result_int() >= 500);
-    AddLatencySample(*aAttempt, now);
+    AddLatencySample(aAttempt->request->profile, now - aAttempt->sentAt, now);
     Finish(aAttempt, AttemptResult::Answered, AttemptFault::None, aResponse);
   }
   ProcessQueue();
@@ -451,7 +458,8 @@
   // No response by the deadline: the server hangs, or works on the request for
   // longer than the caller waits.
   aAttempt->expiryTimer = {};
-  AddLatencySample(*aAttempt, steady_clock::now());
+  const auto now = steady_clock::now();
+  AddLatencySample(aAttempt->request->profile, now - aAttempt->sentAt, now);
   if (aAttempt->connection) {
     aAttempt->connection->Close();
   }
--- a/src/gateway/fanout_batches.cpp
+++ b/src/gateway/fanout_batches.cpp
@@ -29,7 +29,10 @@
                                                 mRequest.route->maxAttempts);
   for (std::size_t n = 0; n < mShards.size(); ++n) {
     auto& shard = mShards[n];
-    const auto bestServers = mContext.servers.BestServers(
+    if (shard.skipped) {
+      continue;
+    }
+    auto bestServers = mContext.servers.BestServers(
       *shard.group, mServerRequest->profile, maxServers, aNow);
     if (bestServers.empty() || bestServers.front()->IsCold(aNow) ||
         bestServers.front()->Record().failureDomain ==
@@ -39,13 +42,14 @@
     for (const auto& it : bestServers) {
       shard.allowedServers.push_back(it.get());
     }
-    shardsByDomain[bestServers.front()->Record().failureDomain].push_back(
-      { n, shard.allowedServers });
+    const auto domain = bestServers.front()->Record().failureDomain;
+    shardsByDomain[domain].push_back({ n, std::move(bestServers) });
   }
   for (auto& [domain, shards] : shardsByDomain) {
     const auto peer = FindGatheringInstance(domain, shards.size(), aNow);
     if (peer) {
-      DispatchBatch(Batch{ peer, nullptr, std::move(shards), false }, aNow);
+      DispatchBatch(Batch{ peer, nullptr, std::move(shards), aNow, false },
+                    aNow);
     } else {
       for (const auto& it : shards) {
         mShards[it.shard].allowedServers.clear();
@@ -82,7 +86,7 @@
     const auto& domain = server->Record().failureDomain;
     if (mayBatch && !mShards[n].wasBatched && !server->IsCold(aNow) &&
         domain != Process().settings.failureDomain) {
-      shardsByDomain[domain].push_back({ n, { server.get() } });
+      shardsByDomain[domain].push_back({ n, { server } });
     } else {
       Dispatch(n, server, aNow);
     }
@@ -93,12 +97,12 @@
     }
     const auto peer = FindGatheringInstance(domain, shards.size(), aNow);
     if (peer) {
-      DispatchBatch(Batch{ peer, nullptr, std::move(shards), true }, aNow);
+      DispatchBatch(Batch{ peer, nullptr, std::move(shards), aNow, true },
+                    aNow);
       continue;
     }
     for (const auto& it : shards) {
-      const auto* server = it.servers.front();
-      Dispatch(it.shard, mContext.servers.Find(server->Record().id), aNow);
+      Dispatch(it.shard, it.servers.front(), aNow);
     }
   }
 }
@@ -118,12 +122,12 @@
   for (const auto& it : aBatch.shards) {
     auto& shard = mShards[it.shard];
     PartialShard partialShard{ shard.group->name, {} };
-    for (const auto* server : it.servers) {
+    for (const auto& server : it.servers) {
       partialShard.servers.push_back(server->Record().id);
     }
     query.shards.push_back(std::move(partialShard));
     shard.wasBatched = true;
-    shard.excludedServers.push_back(it.servers.front());
+    shard.excludedServers.push_back(it.servers.front().get());
     shard.attempts.push_back(ShardAttempt{ peer, nullptr, attemptId });
     shard.hedgeAt =
       aNow + DurationFromMilliseconds(
@@ -178,7 +182,11 @@
       isValidAnswer ? !shard.skippedByPeer : aResult != AttemptResult::NotRun;
     shard.reachedServer = shard.reachedServer || mayHaveReachedServer;
     if (mayHaveReachedServer && batch.isHedge) {
-      shard.AddPossiblyRunBy(it.servers.front());
+      shard.AddPossiblyRunBy(it.servers.front().get());
+    }
+    if (isValidAnswer && mayHaveReachedServer && !shard.answered) {
+      it.servers.front()->OnUnansweredPartial(
+        mServerRequest->profile, now - batch.sentAt, now);
     }
     if (isValidAnswer && shard.skippedByPeer) {
       // The instance does not know the shard's servers.
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -1,5 +1,7 @@
 #include "fanout_exchange.hpp"
 
+#include "bronzedeal/gateway/shard_selection.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
@@ -93,10 +95,12 @@
   }
   mStarting = true;
   if (!mIsPartial) {
+    SkipLateShards(now);
     SendInitialBatches(now);
   }
   for (std::size_t n = 0; n < mShards.size(); ++n) {
-    if (mShards[n].attempts.empty() && !mShards[n].answered) {
+    if (mShards[n].attempts.empty() && !mShards[n].answered &&
+        !mShards[n].skipped) {
       if (!mIsHedge) {
         mShards[n].group->retryBudget.OnFirstAttempt(
           Process().settings.retryLimits, Process().fleetShares.Divisor(), now);
@@ -108,6 +112,55 @@
   Advance();
 }
 
+double FanoutExchange::ExpectedShardLatencyMs(const ShardState& aShard,
+                                              TimePoint aNow) const
+{
+  return mContext.servers.ExpectedLatencyMs(
+    *aShard.group, mServerRequest->profile, aNow);
+}
+
+void FanoutExchange::SkipLateShards(TimePoint aNow)
+{
+  std::vector<double> expectedMs;
+  expectedMs.reserve(mShards.size());
+  for (const auto& it : mShards) {
+    expectedMs.push_back(ExpectedShardLatencyMs(it, aNow));
+  }
+  std::minstd_rand random(static_cast<std::minstd_rand::result_type>(
+    std::hash<std::string>{}(mRequest.caller.requestId)));
+  for (const auto n : SelectSkippedShards(expectedMs,
+                                          Milliseconds(mSoftDeadline - aNow),
+                                          mShards.size() - mRequiredShards,
+                                          random)) {
+    mShards[n].skipped = true;
+  }
+}
+
+void FanoutExchange::SendNeededSkippedShards(TimePoint aNow)
+{
+  auto prospects = static_cast<std::size_t>(
+    std::count_if(mShards.begin(), mShards.end(), [](const auto& aIt) {
+      return aIt.answered || !aIt.attempts.empty();
+    }));
+  if (prospects >= mRequiredShards) {
+    return;
+  }
+  std::vector<std::pair<double, std::size_t>> skipped;
+  for (std::size_t n = 0; n < mShards.size(); ++n) {
+    if (mShards[n].skipped) {
+      skipped.emplace_back(ExpectedShardLatencyMs(mShards[n], aNow), n);
+    }
+  }
+  std::sort(skipped.begin(), skipped.end());
+  for (const auto& [expected, n] : skipped) {
+    if (prospects >= mRequiredShards || !mReply) {
+      return;
+    }
+    mShards[n].skipped = false;
+    prospects += TrySend(n, aNow) ? 1 : 0;
+  }
+}
+
 void FanoutExchange::Cancel()
 {
   mReply = nullptr;
@@ -328,13 +381,14 @@
     nextStepAt = std::min(nextStepAt, mSoftDeadline);
   }
   SendDue(now);
+  SendNeededSkippedShards(now);
   if (!mReply) {
     return; // A send has ended the exchange.
   }
   bool attemptInProgress = false;
   bool retryPossible = false;
   for (const auto& shard : mShards) {
-    if (shard.answered) {
+    if (shard.answered || shard.skipped) {
       continue;
     }
     attemptInProgress = attemptInProgress || !shard.attempts.empty();
@@ -358,7 +412,7 @@
   std::vector<std::size_t> hedges;
   for (std::size_t n = 0; n < mShards.size(); ++n) {
     const auto& shard = mShards[n];
-    if (shard.answered) {
+    if (shard.answered || shard.skipped) {
       continue;
     }
     if (shard.hedgeAt <= aNow && !shard.attempts.empty()) {
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -44,7 +44,7 @@
   struct BatchShard
   {
     std::size_t shard;
-    ServerList servers;
+    std::vector<std::shared_ptr<BackendServer>> servers;
   };
 
   /// A partial query sent to an instance in another failure domain.
@@ -53,6 +53,7 @@
     std::shared_ptr<BackendServer> peer;
     std::shared_ptr<Attempt> attempt;
     std::vector<BatchShard> shards;
+    TimePoint sentAt{};
     /// Its shards were sent to other servers before.
     bool isHedge = false;
   };
@@ -68,6 +69,18 @@
   /// Number of shards with a usable server.
   std::size_t CountReachableShards(TimePoint aNow);
 
+  /// Expected latency of the shard's fastest server; see `ServerRegistry`.
+  [[nodiscard]] double ExpectedShardLatencyMs(const ShardState& aShard,
+                                              TimePoint aNow) const;
+
+  /// Skips the shards that would answer after the soft deadline, as far as the
+  /// required coverage permits.
+  void SkipLateShards(TimePoint aNow);
+
+  /// Sends skipped shards, the fastest first, when too few others have answered
+  /// or have an attempt in progress.
+  void SendNeededSkippedShards(TimePoint aNow);
+
   /// Ends the exchange with a refusal; call only if nothing has been sent.
   /// `aReason` is the text of the reply, `aCause` that of the log.
   void Refuse(std::string_view aReason, std::string_view aCause);
--- a/src/gateway/replica_cost.cpp
+++ b/src/gateway/replica_cost.cpp
@@ -27,17 +27,24 @@
   return aReplica.oldestUnansweredMs > kStallFactor * expected + kStallMarginMs;
 }
 
-double ReplicaCost(const ReplicaStats& aReplica,
-                   const RequestProfile& aRequest) noexcept
+double ExpectedLatencyMs(const ReplicaStats& aReplica,
+                         const RequestProfile& aRequest) noexcept
 {
   const double load = static_cast<double>(aReplica.inFlight + aReplica.queued) /
                       std::max(1U, aReplica.slots);
-  double cost =
+  double expected =
     aRequest.medianLatencyMs * aReplica.relativeLatency * (1 + load);
   if (IsStalled(aReplica, aRequest)) {
-    cost += std::max(kTypicalPauseMs - aReplica.oldestUnansweredMs / 2,
-                     aReplica.oldestUnansweredMs / 2);
+    expected += std::max(kTypicalPauseMs - aReplica.oldestUnansweredMs / 2,
+                         aReplica.oldestUnansweredMs / 2);
   }
+  return expected;
+}
+
+double ReplicaCost(const ReplicaStats& aReplica,
+                   const RequestProfile& aRequest) noexcept
+{
+  double cost = ExpectedLatencyMs(aReplica, aRequest);
   cost += aReplica.failureRate * aRequest.objectiveMs;
   if (!aReplica.sameFailureDomain) {
     cost += kCrossDomainCostFraction * aRequest.objectiveMs;
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -311,6 +311,20 @@
   return best;
 }
 
+double ServerRegistry::ExpectedLatencyMs(const GroupState& aGroup,
+                                         const RequestProfile& aRequest,
+                                         TimePoint aNow) const
+{
+  double fastest = std::numeric_limits<double>::infinity();
+  for (const auto& it : aGroup.servers) {
+    if (IsEligible(*it, aNow)) {
+      fastest = std::min(fastest,
+                         gateway::ExpectedLatencyMs(it->Stats(aNow), aRequest));
+    }
+  }
+  return fastest;
+}
+
 std::shared_ptr<BackendServer> ServerRegistry::Find(const ServerId& aId) const
 {
   const auto it = mById.find(aId);
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -6,6 +6,7 @@
 #include "bronzedeal/gateway/replica_cost.hpp"
 #include "bronzedeal/gateway/retry_budget.hpp"
 #include "bronzedeal/gateway/route_table.hpp"
+#include "bronzedeal/gateway/shard_selection.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -172,6 +173,37 @@
   EXPECT_GT(ReplicaCost(failing, request), ReplicaCost(usual, request));
 }
 
+// Guards against queries that all wait for the same overloaded shards (scale-1
+// of ondt-devis-large: six of 87 shards had slow servers only, and each query
+// waited for its deadline although 83 answers suffice).
+TEST(SelectSkippedShards, SkipsLateShardsAsFarAsTheCoverageAllows)
+{
+  std::minstd_rand random(1);
+  std::vector<double> expected(87, 11.0);
+  EXPECT_TRUE(SelectSkippedShards(expected, 90, 4, random).empty());
+  expected[3] = 150;
+  EXPECT_EQ(SelectSkippedShards(expected, 90, 4, random),
+            (std::vector<std::size_t>{ 3 }));
+  EXPECT_TRUE(SelectSkippedShards(expected, 90, 0, random).empty());
+  std::vector<unsigned> skipCounts(87);
+  constexpr unsigned kQueries = 600;
+  for (std::size_t n = 0; n < 6; ++n) {
+    expected[n] = 150;
+  }
+  for (unsigned n = 0; n < kQueries; ++n) {
+    const auto skipped = SelectSkippedShards(expected, 90, 4, random);
+    ASSERT_EQ(skipped.size(), 4U);
+    for (const auto it : skipped) {
+      ++skipCounts[it];
+    }
+  }
+  // Each of the six gets about a third of the queries.
+  for (std::size_t n = 0; n < 6; ++n) {
+    EXPECT_GT(skipCounts[n], kQueries / 2);
+    EXPECT_LT(skipCounts[n], kQueries * 5 / 6);
+  }
+}
+
 // Guards against callers being sent to an instance that has ended.
 TEST(PeerTable, ForgetsAnInstanceWhoseHeartbeatStops)
 {
