Go on after an unexpected error in the handling of one event

Cause: one catch stood around the whole event loop of the gateway, so that an exception in any handler ended the process with all requests in it; in the follower, called from a coroutine, it ended the following of the store without a trace. A stated waiting time near the integer's maximum overflowed. Change: GatewayInstance logs and counts the error (internal_error, bronzedeal_internal_errors_total) and runs on. The stated waiting time is cut at 24 hours. Tests: a request whose handling throws, a timer that throws, the longest stated time. Without the change the first two end the loop (the exception leaves run_one_for with nothing armed).

--- a/include/bronzedeal/gateway/metadata_follower.hpp
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -55,7 +55,9 @@
   void FinishList();
   void Watch();
   void OnWatchReply(MetadataReply aReply);
+  /// Applies a change; an error is logged and ends there.
   void Apply(RevisionedChange& aChange);
+  void ApplyChange(RevisionedChange& aChange);
   /// Removes a server, unless its entry may be registered again soon.
   void RemoveOrDeferServer(const ServerId& aServer, std::string_view aReason);
   void RemoveExpiredServers();
--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -43,6 +43,7 @@
   ServerConnections,
   ServerConnectFailures,
   LogLinesDropped,
+  InternalErrors,
   Count,
 };
 
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -367,9 +367,9 @@
 
   void PollReload()
   {
-    Reload();
     process.timers.Schedule(steady_clock::now() + kReloadPollInterval,
                             [this] { PollReload(); });
+    Reload();
   }
 
   void Reload()
@@ -395,20 +395,22 @@
 
   void PollReadiness()
   {
+    process.timers.Schedule(steady_clock::now() + kReadinessPollInterval,
+                            [this] { PollReadiness(); });
     auto& self = process.peers.Self();
     if (self.ready != IsReady()) {
       self.ready = IsReady();
       process.log.Write("ready_changed", { { "ready", self.ready } });
       gossip.SendNow();
     }
-    process.timers.Schedule(steady_clock::now() + kReadinessPollInterval,
-                            [this] { PollReadiness(); });
   }
 
   /// Logs the counters at regular intervals, so that the log alone shows the
   /// load around a failure.
   void LogSummary()
   {
+    process.timers.Schedule(steady_clock::now() + kSummaryInterval,
+                            [this] { LogSummary(); });
     const auto count = [this](bronzedeal::process::Counter aCounter) {
       return static_cast<std::int64_t>(process.metrics.Value(aCounter));
     };
@@ -425,8 +427,6 @@
                         { "repeats_denied", count(Counter::RepeatsDenied) },
                         { "connections", count(Counter::ServerConnections) },
                         { "store_reads", count(Counter::PlatformReads) } });
-    process.timers.Schedule(steady_clock::now() + kSummaryInterval,
-                            [this] { LogSummary(); });
   }
 
   void BeginDrain()
@@ -470,6 +470,21 @@
                             [this] { PollDrain(); });
   }
 
+  /// Runs the context until it is stopped. An event whose handler throws ends
+  /// there; the others go on.
+  void RunEvents()
+  {
+    for (;;) {
+      try {
+        process.context.run();
+        return;
+      } catch (const std::exception& e) {
+        process.metrics.Add(bronzedeal::process::Counter::InternalErrors);
+        process.log.Write("internal_error", { { "reason", e.what() } });
+      }
+    }
+  }
+
   int Run()
   {
     process.log.Write("start",
@@ -485,7 +500,7 @@
     PollReload();
     PollReadiness();
     LogSummary();
-    process.context.run();
+    RunEvents();
     serverFollower.Stop();
     operatorFollower.Stop();
     return 0;
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -1,7 +1,9 @@
 #include "bronzedeal/gateway/http_listener.hpp"
 
 #include "bronzedeal/gateway/connection_options.hpp"
+#include "bronzedeal/gateway/error_boundary.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -32,6 +34,8 @@
 constexpr int kRequestRoundTrips = 1;
 constexpr int kConnectRoundTrips = 1;
 constexpr int kAddressLookupRoundTrips = 2;
+/// A caller that states a longer time is taken to wait for this long.
+constexpr milliseconds kMaxTimeLeft = std::chrono::hours(24);
 /// Delay before the next accept after a failed one.
 constexpr auto kAcceptRetryDelay = milliseconds(20);
 
@@ -153,7 +157,9 @@
                        [self = shared_from_this()](const error_code& aError) {
                          self->mIsWaitingReadable = false;
                          if (!aError && self->mIsOpen) {
-                           self->OnReadable();
+                           RunWithRecovery(
+                             [&] { self->OnReadable(); },
+                             [&] { self->OnCallerDisconnected(); });
                          }
                        });
   }
@@ -236,7 +242,8 @@
     if (const auto timeLeftMs =
           ParseInteger(request.message[headerNames.timeLeft])) {
       request.callerDeadline =
-        mReceivedAt + milliseconds(std::max<std::int64_t>(0, *timeLeftMs));
+        mReceivedAt +
+        std::clamp(milliseconds(*timeLeftMs), milliseconds(0), kMaxTimeLeft);
     }
     mCloseAfterReply = !request.message.keep_alive();
     mIsHeadRequest = request.message.method() == http::verb::head;
@@ -317,8 +324,12 @@
     // Post instead of calling: immediate replies to pipelined requests would
     // recurse.
     asio::post(mSocket.get_executor(), [self = shared_from_this()] {
-      self->Parse();
-      self->WaitReadable();
+      RunWithRecovery(
+        [&] {
+          self->Parse();
+          self->WaitReadable();
+        },
+        [&] { self->OnCallerDisconnected(); });
     });
   }
 
@@ -378,11 +389,16 @@
     }
     // Above the limit the socket is closed at once, so that the caller tries
     // another instance.
-    if (self->connections.size() < kMaxConnections) {
-      auto connection = std::make_shared<Connection>(self, std::move(aSocket));
-      self->connections.insert(connection);
-      connection->Start();
-    }
+    RunWithRecovery(
+      [&] {
+        if (self->connections.size() < kMaxConnections) {
+          auto connection =
+            std::make_shared<Connection>(self, std::move(aSocket));
+          self->connections.insert(connection);
+          connection->Start();
+        }
+      },
+      [&] { self->Accept(); });
     self->Accept();
   });
 }
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -277,6 +277,19 @@
 }
 
 void MetadataFollower::Apply(RevisionedChange& aChange)
+{
+  try {
+    ApplyChange(aChange);
+  } catch (const std::exception& e) {
+    // The other changes of the reply still count.
+    mProcess.metrics.Add(process::Counter::InternalErrors);
+    mProcess.log.Write(
+      "internal_error",
+      { { "source", TopicName(mTopic) }, { "reason", e.what() } });
+  }
+}
+
+void MetadataFollower::ApplyChange(RevisionedChange& aChange)
 {
   const auto now = steady_clock::now();
   struct Visitor
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -1,5 +1,7 @@
 #include "bronzedeal/gateway/peer_gossip.hpp"
 
+#include "bronzedeal/gateway/error_boundary.hpp"
+
 #include <boost/asio/buffer.hpp>
 
 namespace bronzedeal::gateway {
@@ -57,6 +59,8 @@
     return;
   }
   const auto now = steady_clock::now();
+  // The next round is due whatever happens in this one.
+  mProcess.timers.Schedule(now + kRoundInterval, [this] { RunRound(); });
   ++mRoundCount;
   // In a small fleet, the few peers of the own failure domain don't spread a
   // change fast enough.
@@ -77,7 +81,6 @@
                          static_cast<double>(alive));
   }
   mOnRound();
-  mProcess.timers.Schedule(now + kRoundInterval, [this] { RunRound(); });
 }
 
 void PeerGossip::SendToPeers(std::size_t aSameDomainCount,
@@ -134,7 +137,7 @@
         return;
       }
       if (!aError) {
-        OnDatagram(aSize);
+        RunWithRecovery([&] { OnDatagram(aSize); }, [this] { Receive(); });
       }
       Receive();
     });
--- a/src/gateway/timer_queue.cpp
+++ b/src/gateway/timer_queue.cpp
@@ -1,5 +1,7 @@
 #include "bronzedeal/gateway/timer_queue.hpp"
 
+#include "bronzedeal/gateway/error_boundary.hpp"
+
 namespace bronzedeal::gateway {
 
 TimerQueue::TimerQueue(boost::asio::io_context& aContext)
@@ -46,7 +48,7 @@
   const auto now = std::chrono::steady_clock::now();
   while (!mQueue.empty() && mQueue.begin()->first.first <= now) {
     auto node = mQueue.extract(mQueue.begin());
-    node.mapped()();
+    RunWithRecovery(node.mapped(), [this] { ArmTimer(); });
   }
   ArmTimer();
 }
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -57,6 +57,7 @@
   { "bronzedeal_server_connections_total", "Connections opened to servers" },
   { "bronzedeal_server_connect_failures_total", "Connections not opened" },
   { "bronzedeal_log_lines_dropped_total", "Log lines dropped, buffer full" },
+  { "bronzedeal_internal_errors_total", "Events whose handler failed" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGaugeDescriptions{ {
--- a/tests/gateway/listener_test.cpp
+++ b/tests/gateway/listener_test.cpp
@@ -143,6 +143,63 @@
   EXPECT_GT(delays[1].count(), 0);
 }
 
+// Guards against a process that ends, or stops listening, because the handling
+// of one request fails unexpectedly.
+TEST(HttpListener, GoesOnAfterAnUnexpectedError)
+{
+  ListenerFixture fixture(
+    [](const CallerRequest& aRequest, const ReplyHandler& aReply) {
+      if (aRequest.message.target() == "/bad") {
+        throw std::runtime_error("unexpected");
+      }
+      aReply(TextReply(200, "sound"));
+      return nullptr;
+    });
+  fixture.Send("GET /bad HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_THROW(fixture.ReadUntil("HTTP"), std::runtime_error);
+  fixture.process.context.restart();
+  fixture.RunUntil([&] { return fixture.listener.ConnectionCount() == 0; });
+  EXPECT_EQ(fixture.listener.ConnectionCount(), 0U);
+  EXPECT_EQ(fixture.listener.BusyConnectionCount(), 0U);
+  fixture.socket = tcp::socket(fixture.process.context);
+  fixture.socket.connect(fixture.listener.Address());
+  fixture.Send("GET /good HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_NE(fixture.ReadUntil("sound").find("200"), std::string::npos);
+}
+
+// Guards against timers that no longer run after one of them has failed.
+TEST(TimerQueue, RunsTheOtherTimersAfterAnUnexpectedError)
+{
+  TestGateway fixture;
+  bool hasRun = false;
+  const auto now = std::chrono::steady_clock::now();
+  fixture.process.timers.Schedule(
+    now, [] { throw std::runtime_error("unexpected"); });
+  fixture.process.timers.Schedule(now + milliseconds(1),
+                                  [&] { hasRun = true; });
+  EXPECT_THROW(fixture.RunUntil([&] { return hasRun; }), std::runtime_error);
+  fixture.process.context.restart();
+  fixture.RunUntil([&] { return hasRun; });
+  EXPECT_TRUE(hasRun);
+}
+
+// Guards against a stated waiting time that overflows and so counts as passed.
+TEST(HttpListener, AcceptsTheLongestStatedWaitingTime)
+{
+  std::optional<TimePoint> deadline;
+  ListenerFixture fixture(
+    [&](const CallerRequest& aRequest, const ReplyHandler& aReply) {
+      deadline = aRequest.callerDeadline;
+      aReply(TextReply(200, "end"));
+      return nullptr;
+    });
+  fixture.Send("GET /a HTTP/1.1\r\nHost: h\r\n"
+               "X-Time-Left-Ms: 9223372036854775807\r\n\r\n");
+  fixture.ReadUntil("end");
+  ASSERT_TRUE(deadline);
+  EXPECT_GT(*deadline, std::chrono::steady_clock::now());
+}
+
 // Guards against continuing an exchange after the caller has disconnected.
 TEST(HttpListener, CancelsTheExchangeWhenTheCallerDisconnects)
 {
