Bound the memory of responses that arrive, and avoid servers that break off

Chunk extensions, trailers and interim responses had no bound. A connection that broke off was counted as a failure, but its weight decayed with the time since the last answer, so a server that only breaks off kept its share of the requests. Unparsed bytes (80 KiB) and interim responses (16) are bounded as well. Answers of shards with far more records than the merge needs are reduced at once. Each outcome counts as a sample of its time.

--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -94,6 +94,7 @@
 class PeerTable;
 class Platform;
 class RelayedSource;
+class ResponseMemory;
 class RetryBudget;
 class RouteLatency;
 class RouteTable;
--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -173,7 +173,10 @@
   void AddLatencySample(const RequestProfile& aRequest,
                         Duration aLatency,
                         TimePoint aNow);
-  void AddOutcomeSample(bool aFailed) noexcept;
+  void AddOutcomeSample(bool aFailed, TimePoint aNow) noexcept;
+  /// Makes `aNow` the time of the last sample: the moving averages take the
+  /// values to which they have decayed.
+  void DecayStats(TimePoint aNow) noexcept;
   void MarkUnreachable(std::string_view aReason);
   void ScheduleReconnect();
   [[nodiscard]] std::shared_ptr<ServerConnection> TakeIdleConnection(
--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/gateway/decision_log.hpp"
 #include "bronzedeal/gateway/fleet_shares.hpp"
 #include "bronzedeal/gateway/peer_table.hpp"
+#include "bronzedeal/gateway/response_memory.hpp"
 #include "bronzedeal/gateway/settings.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
 #include "bronzedeal/process/metrics.hpp"
@@ -20,6 +21,7 @@
   boost::asio::io_context context{ 1 };
   Settings settings;
   TimerQueue timers{ context };
+  ResponseMemory responseMemory;
   process::Metrics metrics;
   DecisionLog log;
   PeerTable peers;
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "bronzedeal/gateway/connection_options.hpp"
 #include "bronzedeal/gateway/http_message.hpp"
+#include "bronzedeal/gateway/response_memory.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -33,6 +34,7 @@
 
   ServerConnection(boost::asio::io_context& aContext,
                    TimerQueue& aTimers,
+                   ResponseMemory& aMemory,
                    std::size_t aMaxResponseBodyBytes);
 
   void Connect(const boost::asio::ip::tcp::endpoint& aEndpoint,
@@ -64,6 +66,7 @@
 private:
   void WaitReadable();
   void OnReadable();
+  void ResetParser();
   void ParseInput(bool aEndOfStream);
   bool SkipInterimResponse();
   void FinishResponse();
@@ -83,6 +86,9 @@
   std::optional<Parser> mParser;
   std::string mWriteBuffer;
   std::string mReadBuffer;
+  /// Bytes received of the current response, interim ones included.
+  ResponseMemory::Charge mCharge;
+  unsigned mInterimCount = 0;
   bool mIsOpen = false;
   bool mIsWriting = false;
   bool mIsHeadRequest = false;
--- a/include/bronzedeal/gateway/settings.hpp
+++ b/include/bronzedeal/gateway/settings.hpp
@@ -39,6 +39,8 @@
   /// CPU cores available to this instance; one of the criteria by which the
   /// instances that callers are sent to are selected.
   double cores = 1;
+  /// Memory that this instance may use.
+  std::size_t memoryBytes = std::size_t{ 256 } << 20;
   /// Maximum number of open file descriptors.
   unsigned maxFileDescriptors = 1024;
 
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -233,8 +233,10 @@
 void BackendServer::OpenConnection()
 {
   ++mConnectingCount;
-  auto connection = std::make_shared<ServerConnection>(
-    mProcess.context, mProcess.timers, kMaxResponseBodyBytes);
+  auto connection = std::make_shared<ServerConnection>(mProcess.context,
+                                                       mProcess.timers,
+                                                       mProcess.responseMemory,
+                                                       kMaxResponseBodyBytes);
   mProcess.metrics.Add(process::Counter::ServerConnections);
   std::weak_ptr<ServerConnection> weak = connection;
   connection->SetIdleCloseHandler([self = weak_from_this(), weak] {
@@ -378,16 +380,24 @@
     std::clamp(Milliseconds(aLatency) / std::max(0.5, aRequest.medianLatencyMs),
                kMinRelativeLatency,
                kMaxRelativeLatency);
-  const double current = Stats(aNow).relativeLatency;
-  mRelativeLatency = current + kLatencySampleWeight * (sample - current);
-  mLastSampleAt = aNow;
+  DecayStats(aNow);
+  mRelativeLatency += kLatencySampleWeight * (sample - mRelativeLatency);
 }
 
-void BackendServer::AddOutcomeSample(bool aFailed) noexcept
+void BackendServer::AddOutcomeSample(bool aFailed, TimePoint aNow) noexcept
 {
+  DecayStats(aNow);
   mFailureRate += kOutcomeSampleWeight * ((aFailed ? 1 : 0) - mFailureRate);
 }
 
+void BackendServer::DecayStats(TimePoint aNow) noexcept
+{
+  const auto stats = Stats(aNow);
+  mRelativeLatency = stats.relativeLatency;
+  mFailureRate = stats.failureRate;
+  mLastSampleAt = aNow;
+}
+
 void BackendServer::OnSendFinished(const std::shared_ptr<Attempt>& aAttempt,
                                    SendResult aResult,
                                    ResponseMessage* aResponse)
@@ -397,7 +407,7 @@
   const auto connection = std::exchange(aAttempt->connection, nullptr);
   const auto now = steady_clock::now();
   if (aResult == SendResult::Broken) {
-    AddOutcomeSample(true);
+    AddOutcomeSample(true, now);
     LimitReusableIdleTime(aAttempt->idleTimeBeforeSend, now);
     Finish(
       aAttempt, AttemptResult::OutcomeUnknown, AttemptFault::Broken, nullptr);
@@ -411,7 +421,7 @@
     // This is a surplus response: responses on this connection no longer match
     // the requests.
     connection->Close();
-    AddOutcomeSample(true);
+    AddOutcomeSample(true, now);
     Finish(aAttempt,
            AttemptResult::OutcomeUnknown,
            AttemptFault::WrongRequest,
@@ -429,12 +439,11 @@
                          { "request", aAttempt->request->requestId } });
     Finish(aAttempt, AttemptResult::NotRun, AttemptFault::OtherServer, nullptr);
   } else if (aResponse->find(headerNames.notRun) != aResponse->end()) {
-    AddOutcomeSample(true);
-    mLastSampleAt = now;
+    AddOutcomeSample(true, now);
     mRefusingUntil = now + kRefusedPause;
     Finish(aAttempt, AttemptResult::NotRun, AttemptFault::Refused, aResponse);
   } else {
-    AddOutcomeSample(aResponse->result_int() >= 500);
+    AddOutcomeSample(aResponse->result_int() >= 500, now);
     AddLatencySample(aAttempt->request->profile, now - aAttempt->sentAt, now);
     Finish(aAttempt, AttemptResult::Answered, AttemptFault::None, aResponse);
   }
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -1,5 +1,6 @@
 #include "fanout_exchange.hpp"
 
+#include "bronzedeal/gateway/record_merge.hpp"
 #include "bronzedeal/gateway/shard_selection.hpp"
 
 #include <algorithm>
@@ -24,6 +25,9 @@
 constexpr auto kAnswerMargin = milliseconds(30);
 /// Maximum number of sends of one shard, including those that servers refused.
 constexpr unsigned kMaxSendsPerShard = 6;
+/// An answer with more than this multiple of the records that the merge needs
+/// is reduced to these at once.
+constexpr std::size_t kMaxUnmergedRatio = 4;
 /// Delay before the next try for a shard without a usable server.
 constexpr auto kNoServerRetryDelay = milliseconds(50);
 /// Value of Retry-After in a refusal.
@@ -347,8 +351,12 @@
   if (aResponse.result_int() / 100 != 2 || signature.empty()) {
     return false;
   }
-  mShards.RecordAnswer(
-    aShard, std::string(signature), std::move(aResponse.body()));
+  auto records = std::move(aResponse.body());
+  const auto topRecords = mRequest.route->topRecords;
+  if (records.size() > kMaxUnmergedRatio * topRecords * kRecordBytes) {
+    records = MergeTopRecords({ records }, topRecords);
+  }
+  mShards.RecordAnswer(aShard, std::string(signature), std::move(records));
   return true;
 }
 
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+/// The responses being received may use the memory divided by this. Buffers
+/// that grow hold up to three times the bytes received.
+constexpr std::size_t kResponseMemoryDivisor = 8;
+
 PeerState InitialSelfState(const Settings& aSettings)
 {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -21,6 +25,7 @@
 
 Process::Process(Settings aSettings, DecisionLog::Sink aSink)
   : settings(std::move(aSettings))
+  , responseMemory(settings.memoryBytes / kResponseMemoryDivisor)
   , log(settings.instance, std::move(aSink))
   , peers(InitialSelfState(settings), PeerTable::Options{})
   , fleetShares(settings.instance)
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -183,7 +183,7 @@
     return;
   }
   mConnection = std::make_shared<ServerConnection>(
-    mProcess.context, mProcess.timers, kMaxReplyBytes);
+    mProcess.context, mProcess.timers, mProcess.responseMemory, kMaxReplyBytes);
   mConnection->Connect({ mRelays.at(*mCurrentRelay).address,
                          mProcess.settings.gossipEndpoint.port() },
                        kConnectTimeout,
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "bronzedeal/gateway/server_connection.hpp"
 
+#include "bronzedeal/gateway/error_boundary.hpp"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -20,6 +22,11 @@
 /// Size of one read; above the typical response of some kilobytes.
 constexpr std::size_t kReadBufferBytes = 16'384;
 constexpr std::uint32_t kMaxHeaderBytes = 65'536;
+/// Unparsed bytes: above the headers, a longer line of a chunk or of trailers
+/// is no response.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadBufferBytes;
+/// Interim (1xx) responses before the response to one request.
+constexpr unsigned kMaxInterimResponses = 16;
 /// A connection is not reused within this time before the end of the server's
 /// idle timeout, because the server may close it while a request is on the way.
 constexpr auto kIdleTimeoutMargin = milliseconds(700);
@@ -43,10 +50,12 @@
 
 ServerConnection::ServerConnection(asio::io_context& aContext,
                                    TimerQueue& aTimers,
+                                   ResponseMemory& aMemory,
                                    std::size_t aMaxResponseBodyBytes)
   : mSocket(aContext)
   , mTimers(aTimers)
   , mMaxResponseBodyBytes(aMaxResponseBodyBytes)
+  , mCharge(aMemory)
 {
 }
 
@@ -87,12 +96,18 @@
   mWriteBuffer = std::move(aBytes);
   mSendHandler = std::move(aHandler);
   mIsHeadRequest = aIsHeadRequest;
+  mInterimCount = 0;
+  ResetParser();
+  Write(0);
+}
+
+void ServerConnection::ResetParser()
+{
   mParser.emplace();
   mParser->eager(true);
   mParser->body_limit(mMaxResponseBodyBytes);
   mParser->header_limit(kMaxHeaderBytes);
-  mParser->skip(aIsHeadRequest);
-  Write(0);
+  mParser->skip(mIsHeadRequest);
 }
 
 void ServerConnection::Write(std::size_t aFrom)
@@ -123,6 +138,7 @@
 {
   mTimers.Cancel(mConnectTimer);
   mIsOpen = false;
+  mCharge.Release();
   error_code ec;
   mSocket.close(ec); // Fails only if it is already closed.
   if (mConnectHandler) {
@@ -148,7 +164,8 @@
   mSocket.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const error_code& aError) {
                        if (!aError && self->mIsOpen) {
-                         self->OnReadable();
+                         RunWithRecovery([&] { self->OnReadable(); },
+                                         [&] { self->CloseOnError(); });
                        }
                      });
 }
@@ -169,6 +186,10 @@
     return;
   }
   mReadBuffer.append(buf.data(), n);
+  if (!mCharge.TryGrow(n)) {
+    CloseOnError();
+    return;
+  }
   if (ec && ec != asio::error::eof) {
     CloseOnError();
     return;
@@ -191,12 +212,20 @@
       return;
     }
     if (mParser->is_done() && SkipInterimResponse()) {
+      if (++mInterimCount > kMaxInterimResponses) {
+        CloseOnError();
+        return;
+      }
       continue;
     }
     if (n == 0) {
       break;
     }
   }
+  if (mReadBuffer.size() > kMaxUnparsedBytes) {
+    CloseOnError();
+    return;
+  }
   if (!mParser->is_done() && aEndOfStream) {
     mKeepAlive = false;
     if (mParser->got_some()) {
@@ -220,16 +249,13 @@
   if (mParser->get().result_int() >= 200) {
     return false;
   }
-  mParser.emplace();
-  mParser->eager(true);
-  mParser->body_limit(mMaxResponseBodyBytes);
-  mParser->header_limit(kMaxHeaderBytes);
-  mParser->skip(mIsHeadRequest);
+  ResetParser();
   return true;
 }
 
 void ServerConnection::FinishResponse()
 {
+  mCharge.Release();
   auto response = mParser->release();
   mParser.reset();
   // After surplus bytes, or a response before the whole request was written,
--- a/tests/gateway/backend_server_test.cpp
+++ b/tests/gateway/backend_server_test.cpp
@@ -29,6 +29,25 @@
 
 } // namespace
 
+// Guards against a server that keeps its share of the requests although it
+// breaks off each of them.
+TEST(BackendServer, CountsBrokenConnectionsAsFailures)
+{
+  TestGateway fixture;
+  ScriptedServer server(fixture.process.context, [](auto&) {
+    return Reaction{ "", {}, false, true };
+  });
+  fixture.AddServer("s-0", "g0", server.Address());
+  const auto backend = fixture.servers.Find("s-0");
+  unsigned broken = 0;
+  for (unsigned n = 0; n < 10; ++n) {
+    backend->Send(MakeRequest(),
+                  [&](auto, auto, ResponseMessage*) { ++broken; });
+    fixture.RunUntil([&] { return broken > n; });
+  }
+  EXPECT_GT(backend->Stats(steady_clock::now()).failureRate, 0.4);
+}
+
 // Guards against the first queries over a new set of shards all waiting for
 // connections to open (seen in gaonsan-hide-grown, scale-1, seconds 6 to 8).
 TEST(BackendServer, OpensAConnectionBeforeTheFirstRequest)
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -4,6 +4,7 @@
 #include "bronzedeal/gateway/peer_table.hpp"
 #include "bronzedeal/gateway/record_merge.hpp"
 #include "bronzedeal/gateway/replica_cost.hpp"
+#include "bronzedeal/gateway/response_memory.hpp"
 #include "bronzedeal/gateway/retry_budget.hpp"
 #include "bronzedeal/gateway/route_table.hpp"
 #include "bronzedeal/gateway/shard_selection.hpp"
@@ -173,6 +174,34 @@
   EXPECT_GT(ReplicaCost(failing, request), ReplicaCost(usual, request));
 }
 
+// Guards against many endless responses that together exceed the memory, and
+// against small responses that fail because of them.
+TEST(ResponseMemory, BoundsAllResponsesTogetherAndPassesSmallOnes)
+{
+  constexpr std::size_t kLimit = std::size_t{ 20 } << 20;
+  ResponseMemory memory(kLimit);
+  std::deque<ResponseMemory::Charge> endless;
+  std::vector<bool> open(50, true);
+  for (std::size_t n = 0; n < open.size(); ++n) {
+    endless.emplace_back(memory);
+  }
+  std::size_t peak = 0;
+  for (int round = 0; round < 2000; ++round) {
+    for (std::size_t n = 0; n < open.size(); ++n) {
+      if (open[n] && !endless[n].TryGrow(16'384)) {
+        endless[n].Release();
+        open[n] = false;
+      }
+    }
+    peak = std::max(peak, memory.UsedBytes());
+    ResponseMemory::Charge small(memory);
+    ASSERT_TRUE(small.TryGrow(3000));
+  }
+  EXPECT_LT(peak, kLimit);
+  EXPECT_EQ(std::count(open.begin(), open.end(), true), 0);
+  EXPECT_EQ(memory.UsedBytes(), 0U);
+}
+
 // Guards against queries that all wait for the same overloaded shards (scale-1
 // of ondt-devis-large: six of 87 shards had slow servers only, and each query
 // waited for its deadline although 83 answers suffice).
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -478,4 +478,50 @@
   EXPECT_EQ(replied, (std::vector<std::string>{ "distant", "near" }));
 }
 
+// Guards against responses without end that fill the memory until the caller
+// leaves: one response held 1.4 GB in a play with 12 such servers.
+TEST(SingleExchange, ClosesConnectionsOfResponsesWithoutEnd)
+{
+  const std::string filler(4 << 20, 'x');
+  std::string interim;
+  for (int n = 0; n < 200; ++n) {
+    interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  std::string extendedChunks =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  while (extendedChunks.size() < filler.size()) {
+    extendedChunks += "1;" + std::string(1000, 'x') + "\r\ny\r\n";
+  }
+  const std::vector<std::pair<std::string, std::string>> endless{
+    { "head", "HTTP/1.1 200 OK\r\nX-Filler: " + filler },
+    { "body without length", "HTTP/1.1 200 OK\r\n\r\n" + filler },
+    { "body of stated length",
+      "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n" + filler },
+    { "chunk",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffff\r\n" +
+        filler },
+    { "chunk extension",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + filler },
+    { "many chunk extensions", extendedChunks },
+    { "trailers",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Filler: " +
+        filler },
+    { "interim responses", interim },
+  };
+  for (const auto& [name, bytes] : endless) {
+    auto settings = TestGateway::MakeSettings();
+    settings.memoryBytes = std::size_t{ 16 } << 20;
+    TestGateway fixture(settings);
+    ScriptedServer server(fixture.process.context, [&, &sent = bytes](auto&) {
+      return Reaction{ sent };
+    });
+    fixture.AddServer("s-0", "g0", server.Address());
+    auto route = TestGateway::SingleRoute(Repeatability::AtMostOnce);
+    route.timeout = std::chrono::seconds(60);
+    fixture.Publish({ route });
+    EXPECT_EQ(fixture.Ask("/one/a").status, 502U) << name;
+    EXPECT_EQ(fixture.process.responseMemory.UsedBytes(), 0U) << name;
+  }
+}
+
 } // namespace bronzedeal::gateway::test
--- a/tests/gateway/support.hpp
+++ b/tests/gateway/support.hpp
@@ -145,8 +145,8 @@
 /// A gateway with its server registry in one context, without listeners.
 struct TestGateway
 {
-  TestGateway()
-    : process(MakeSettings(), [](std::string_view) {})
+  explicit TestGateway(Settings aSettings = MakeSettings())
+    : process(std::move(aSettings), [](std::string_view) {})
     , servers(process)
     , gateway(process, servers)
   {
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -180,6 +180,7 @@
     Times are in seconds: `work_s` is the time that each request takes, and
     answers are held back until `pause_until`. `fail_share` of the answers have
     status 500; `lose_share` of them are replaced by closing the connection.
+    With `endless`, the named part of each answer never ends.
     """
 
     def __init__(self, store, history, ident, group, zone):
@@ -189,6 +190,7 @@
         self.pause_until = 0.0
         self.fail_share = 0.0
         self.lose_share = 0.0
+        self.endless = None
         self.sequence = 0
         self.state = "ready"
         self.listener = None
@@ -245,6 +247,9 @@
         if self.random.random() < self.lose_share:
             call.close_connection = True
             return
+        if self.endless:
+            self.send_without_end(call)
+            return
         if self.random.random() < self.fail_share:
             call.reply(500, {"Server-Stamp": stamp, "Request-Id": ident}, b"")
             return
@@ -253,6 +258,25 @@
                          stamp=stamp, body=body)
         call.reply(200, {"Server-Stamp": stamp, "Request-Id": ident}, body)
 
+    def send_without_end(self, call):
+        """Sends an answer whose part `endless` goes on until the peer closes."""
+        start, again = {
+            "head": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x" * 65536),
+            "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+            "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                       b"8000\r\n" + b"x" * 0x8000 + b"\r\n"),
+            "extension": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                          b"\r\n\r\n1;", b"x" * 65536),
+            "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000),
+        }[self.endless]
+        call.close_connection = True
+        try:
+            call.wfile.write(start)
+            while True:
+                call.wfile.write(again)
+        except OSError:
+            pass
+
     def close(self):
         if self.listener:
             self.listener.shutdown()
@@ -376,6 +400,11 @@
     def ready(self):
         return ask(self.address("ready"), "/api/readiness").status == 200
 
+    def peak_memory_mb(self):
+        status = pathlib.Path("/proc/%d/status" % self.process.pid).read_text()
+        line = next(it for it in status.splitlines() if it.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
     def stop(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -133,6 +133,39 @@
         connection.close()
         self.assert_no_violations()
 
+    def test_serves_while_servers_answer_without_end(self):
+        """Guards against one server's endless answers that fill the memory."""
+        world = self.world
+        instance = world.instances[0]
+        limit_mb = 160
+        instance.stop()
+        instance.write_settings(limits={"cpu-share": 1, "cores": 1,
+                                        "max-fds": 4096,
+                                        "memory-mb": limit_mb})
+        instance.start()
+        self.assertTrue(world.wait(instance.ready))
+        kinds = ("head", "body", "chunks", "extension", "interim")
+        for number, server in enumerate(it for it in world.servers
+                                        if it.id.endswith("-0")):
+            server.endless = kinds[number % len(kinds)]
+        answers = []
+
+        end = time.monotonic() + 5
+
+        def call():
+            while time.monotonic() < end:
+                for kind in ("all", "read"):
+                    answers.append(world.call(kind, instance).status)
+        callers = [threading.Thread(target=call) for _ in range(4)]
+        for it in callers:
+            it.start()
+        for it in callers:
+            it.join()
+        self.assertIsNone(instance.process.poll())
+        self.assertLess(instance.peak_memory_mb(), limit_mb / 2)
+        self.assertGreaterEqual(answers.count(200), 0.99 * len(answers))
+        self.assert_no_violations()
+
     def test_keeps_valid_settings_on_an_invalid_reload(self):
         """Guards against invalid settings that replace valid ones on SIGHUP."""
         world = self.world
