Spread the serving instances over the failure domains

Change: among equal candidates each failure domain gets the same number of serving instances; an instance whose domain has none relays from another domain. One test (SpreadsEqualInstancesOverTheDomains) failed before.

--- a/include/bronzedeal/gateway/address_picker.hpp
+++ b/include/bronzedeal/gateway/address_picker.hpp
@@ -18,12 +18,15 @@
   bool ready = true;
   /// It reaches servers of enough shards for every route.
   bool hasCoverage = true;
+  FailureDomain failureDomain;
 };
 
 /// Selects the instances that callers should use: those with the most servers
 /// in their own failure domain, since traffic between failure domains is
-/// expensive, and as many others as the load requires. All instances with the
-/// same candidates select the same addresses in the same order.
+/// expensive, and as many others as the load requires. Among equal ones, each
+/// failure domain gets the same number, so that parts of queries can be
+/// gathered and metadata relayed in each of them. All instances with the same
+/// candidates select the same addresses in the same order.
 [[nodiscard]] std::vector<boost::asio::ip::address> PickAddresses(
   std::vector<AddressCandidate> aCandidates);
 
--- a/src/gateway/address_picker.cpp
+++ b/src/gateway/address_picker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <tuple>
 
 namespace bronzedeal::gateway {
@@ -39,6 +40,34 @@
   }
 }
 
+/// Reorders each run of equivalent candidates so that the first ones of all
+/// failure domains come before the second ones, and so on.
+template<typename Equivalent>
+void SpreadOverDomains(std::vector<AddressCandidate>& aCandidates,
+                       Equivalent aEquivalent)
+{
+  auto begin = aCandidates.begin();
+  while (begin != aCandidates.end()) {
+    const auto end =
+      std::find_if_not(begin, aCandidates.end(), [&](const auto& aIt) {
+        return aEquivalent(*begin, aIt);
+      });
+    std::map<FailureDomain, unsigned> countByDomain;
+    std::vector<std::pair<unsigned, AddressCandidate>> ranked;
+    for (auto it = begin; it != end; ++it) {
+      const auto rank = countByDomain[it->failureDomain]++;
+      ranked.emplace_back(rank, std::move(*it));
+    }
+    std::stable_sort(
+      ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.first < aRight.first;
+      });
+    for (auto& [rank, candidate] : ranked) {
+      *begin++ = std::move(candidate);
+    }
+  }
+}
+
 } // namespace
 
 std::vector<boost::asio::ip::address> PickAddresses(
@@ -67,13 +96,18 @@
   const bool localOnly = localCores >= kMinLocalCoreFraction * totalCores;
   // The address as the last criterion makes the order the same on all instances
   // with the same view.
-  std::sort(
-    aCandidates.begin(),
-    aCandidates.end(),
-    [&](const auto& aLeft, auto& aRight) {
-      return std::tuple(!isStrong(aLeft), !isLocal(aLeft), aLeft.address) <
-             std::tuple(!isStrong(aRight), !isLocal(aRight), aRight.address);
-    });
+  const auto preference = [&](const AddressCandidate& aIt) {
+    return std::tuple(!isStrong(aIt), !isLocal(aIt), aIt.address);
+  };
+  std::sort(aCandidates.begin(),
+            aCandidates.end(),
+            [&](const auto& aLeft, const auto& aRight) {
+              return preference(aLeft) < preference(aRight);
+            });
+  SpreadOverDomains(aCandidates, [&](const auto& aLeft, const auto& aRight) {
+    return isStrong(aLeft) == isStrong(aRight) &&
+           isLocal(aLeft) == isLocal(aRight);
+  });
   std::vector<boost::asio::ip::address> picked;
   double pickedCores = 0;
   for (const auto& it : aCandidates) {
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -247,7 +247,8 @@
                           localCoverage->second,
                           it.cores,
                           it.ready,
-                          anyHasEnoughCoverage || HasEnoughCoverage(it) });
+                          anyHasEnoughCoverage || HasEnoughCoverage(it),
+                          it.failureDomain });
     }
     return PickAddresses(std::move(candidates));
   }
@@ -310,7 +311,8 @@
   }
 
   /// Instances that callers are directed to read the metadata service directly;
-  /// the others read from one of these in their failure domain.
+  /// the others read from one of these, in their failure domain if there is
+  /// one.
   void UpdateRelays(const std::vector<InstanceId>& aServing, TimePoint aNow)
   {
     const auto isServing = [&](const InstanceId& aInstance) {
@@ -318,15 +320,21 @@
              aServing.end();
     };
     std::vector<PeerState> relays;
+    std::vector<PeerState> distantRelays;
     const bool readsDirectly = isServing(process.settings.instance);
     if (!readsDirectly) {
       for (auto& it : process.peers.AliveInstances(aNow)) {
         if (isServing(it.instance) && it.metadataReachable && it.ready &&
-            !it.leaving && it.failureDomain == process.settings.failureDomain) {
-          relays.push_back(std::move(it));
+            !it.leaving) {
+          const bool isNear =
+            it.failureDomain == process.settings.failureDomain;
+          (isNear ? relays : distantRelays).push_back(std::move(it));
         }
       }
     }
+    if (relays.empty()) {
+      relays = std::move(distantRelays);
+    }
     serverSource.SetRelays(relays, readsDirectly);
     operatorSource.SetRelays(relays, readsDirectly);
   }
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -412,6 +412,31 @@
   EXPECT_LE(pickedSmall.size(), 16U);
 }
 
+// Guards against failure domains without a serving instance, whose shards are
+// fetched whole from other domains, and whose instances all read the metadata
+// service: on ondt-devis-large, the 12 strong instances with the lowest
+// addresses left out two of six domains.
+TEST(PickAddresses, SpreadsEqualInstancesOverTheDomains)
+{
+  std::vector<AddressCandidate> candidates;
+  for (unsigned n = 0; n < 18; ++n) {
+    candidates.push_back(
+      { Ip(n), 1, 0.5, true, true, "fd-" + std::to_string(n / 3) });
+  }
+  std::map<FailureDomain, unsigned> countByDomain;
+  for (const auto& it : PickAddresses(candidates)) {
+    const auto found =
+      std::find_if(candidates.begin(), candidates.end(), [&](const auto& aIt) {
+        return aIt.address == it;
+      });
+    ++countByDomain[found->failureDomain];
+  }
+  EXPECT_EQ(countByDomain.size(), 6U);
+  for (const auto& [domain, count] : countByDomain) {
+    EXPECT_EQ(count, 2U) << domain;
+  }
+}
+
 // Guards against callers being sent to instances that can't serve yet while
 // others can.
 TEST(PickAddresses, LeavesOutInstancesThatAreNotReady)
