Make the soak's injected drain independent of real ones

Cause: put_in_fault adds a drain 60 s before the first run. Change: the injected fault removes the real drains and returns of that server from the history.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -226,6 +226,10 @@
             next(it for it in events if it["kind"] == "run")["path"] += "x"
         elif self.bite == "drain":
             it = next(it for it in events if it["kind"] == "run")
+            # A real drain or return of that server would end the injected one.
+            events[:] = [other for other in events
+                         if other["kind"] not in ("draining", "back")
+                         or other["server"] != it["server"]]
             events.append({"kind": "draining", "server": it["server"],
                            "at": it["at"] - 60})
             self.trace = []
