Let instances that start wait for a reader of the metadata service

Change: the first read waits for 40 ms after the first datagram of another instance, at most 450 ms; until the view of the fleet is complete, only instances read directly that know no much stronger one. The others wait for a relay, up to 4 s (2 before).

--- a/include/bronzedeal/gateway/address_picker.hpp
+++ b/include/bronzedeal/gateway/address_picker.hpp
@@ -21,6 +21,11 @@
   FailureDomain failureDomain;
 };
 
+/// True if callers are likely sent to an instance with `aCores` in a fleet
+/// whose largest instance has `aMostCores`: weaker ones delay queries over many
+/// shards.
+[[nodiscard]] bool IsStrongInstance(double aCores, double aMostCores) noexcept;
+
 /// Selects the instances that callers should use: those with the most servers
 /// in their own failure domain, since traffic between failure domains is
 /// expensive, and as many others as the load requires. Among equal ones, each
--- a/src/gateway/address_picker.cpp
+++ b/src/gateway/address_picker.cpp
@@ -70,6 +70,11 @@
 
 } // namespace
 
+bool IsStrongInstance(double aCores, double aMostCores) noexcept
+{
+  return aCores >= kMinStrongCoreFraction * aMostCores;
+}
+
 std::vector<boost::asio::ip::address> PickAddresses(
   std::vector<AddressCandidate> aCandidates)
 {
@@ -87,7 +92,7 @@
     return aIt.locality >= kMinLocalityFraction * highestLocality;
   };
   const auto isStrong = [&](const AddressCandidate& aIt) {
-    return aIt.cores >= kMinStrongCoreFraction * mostCores;
+    return IsStrongInstance(aIt.cores, mostCores);
   };
   double localCores = 0;
   for (const auto& it : aCandidates) {
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -32,9 +32,14 @@
 /// After the start, the view of the fleet counts as complete this long after
 /// the first other instance was heard from: about one round of gossip.
 constexpr auto kFleetViewDelay = milliseconds(300);
-/// Delay before the metadata service is first read. By then, running instances
-/// have answered the first datagram and told which of them read the service.
+/// Delay from the first datagram of another instance to the first read of the
+/// metadata service. By then, the instances nearby have told which of them read
+/// the service.
 constexpr auto kMetadataStartDelay = milliseconds(40);
+/// Without another instance, the service is read this long after the start; the
+/// seeds may come late.
+constexpr auto kMaxMetadataStartDelay = milliseconds(450);
+constexpr auto kMetadataStartPollInterval = milliseconds(20);
 /// If no other instance was heard from within this time, the view of the fleet
 /// counts as complete with this instance alone.
 constexpr auto kNoPeersTimeout = milliseconds(1000);
@@ -288,8 +293,9 @@
   {
     const auto now = steady_clock::now();
     const auto serving = ServingInstances(now);
+    const bool isViewComplete = UpdateFleetViewComplete(now);
     UpdateRelays(serving, now);
-    if (!UpdateFleetViewComplete(now)) {
+    if (!isViewComplete) {
       return;
     }
     const auto previousDivisor = process.fleetShares.Divisor();
@@ -310,6 +316,16 @@
     }
   }
 
+  /// True if no known instance is much stronger than this one.
+  [[nodiscard]] bool IsStrongAmongKnown(TimePoint aNow) const
+  {
+    double mostCores = 0;
+    for (const auto& it : process.peers.AliveInstances(aNow)) {
+      mostCores = std::max(mostCores, it.cores);
+    }
+    return IsStrongInstance(process.settings.cores, mostCores);
+  }
+
   /// Instances that callers are directed to read the metadata service directly;
   /// the others read from one of these, in their failure domain if there is
   /// one.
@@ -321,7 +337,11 @@
     };
     std::vector<PeerState> relays;
     std::vector<PeerState> distantRelays;
-    const bool readsDirectly = isServing(process.settings.instance);
+    // In a fleet that starts, each instance knows few others and would count
+    // itself among the serving ones.
+    const bool readsDirectly = fleetViewComplete
+                                 ? isServing(process.settings.instance)
+                                 : IsStrongAmongKnown(aNow);
     if (!readsDirectly) {
       for (auto& it : process.peers.AliveInstances(aNow)) {
         if (isServing(it.instance) && it.metadataReachable && it.ready &&
@@ -478,6 +498,22 @@
                             [this] { PollDrain(); });
   }
 
+  /// Begins to follow the metadata once enough is known of the other instances.
+  void StartMetadata()
+  {
+    UpdateShares();
+    const auto now = steady_clock::now();
+    const bool knowsOthers = firstPeerSeenAt != TimePoint{} &&
+                             now - firstPeerSeenAt >= kMetadataStartDelay;
+    if (!knowsOthers && now - startedAt < kMaxMetadataStartDelay) {
+      process.timers.Schedule(now + kMetadataStartPollInterval,
+                              [this] { StartMetadata(); });
+      return;
+    }
+    serverFollower.Start();
+    operatorFollower.Start();
+  }
+
   /// Runs the context until it is stopped. An event whose handler throws ends
   /// there; the others go on.
   void RunEvents()
@@ -500,11 +536,7 @@
                         { "domain", process.settings.failureDomain } });
     WaitForSignal();
     gossip.Start();
-    process.timers.Schedule(startedAt + kMetadataStartDelay, [this] {
-      UpdateShares();
-      serverFollower.Start();
-      operatorFollower.Start();
-    });
+    StartMetadata();
     PollReload();
     PollReadiness();
     LogSummary();
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -24,7 +24,7 @@
 constexpr auto kSuspension = milliseconds(3000);
 /// How long an instance waits for a relay after its start. When many instances
 /// start at once, those that callers are sent to have read the service by then.
-constexpr auto kRelayWaitLimit = milliseconds(2000);
+constexpr auto kRelayWaitLimit = milliseconds(4000);
 constexpr auto kRelayPollInterval = milliseconds(100);
 
 } // namespace
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -412,6 +412,16 @@
   EXPECT_LE(pickedSmall.size(), 16U);
 }
 
+// Guards against a fleet of which each instance reads the metadata service at
+// its start, because it knows few others yet (ondt-devis-large: 195 instances,
+// four calls each).
+TEST(IsStrongInstance, TellsInstancesThatWaitForAReader)
+{
+  EXPECT_TRUE(IsStrongInstance(0.5, 0.5));
+  EXPECT_TRUE(IsStrongInstance(0.25, 0.5));
+  EXPECT_FALSE(IsStrongInstance(0.12, 0.5));
+}
+
 // Guards against failure domains without a serving instance, whose shards are
 // fetched whole from other domains, and whose instances all read the metadata
 // service: on ondt-devis-large, the 12 strong instances with the lowest
