--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace bronzedeal::platform {
 
@@ -268,4 +269,39 @@
   }
 }
 
+// Guards against an entry or answer of the store that ends a process.
+RC_GTEST_PROP(MalformedStoreAnswers, AreDecodedOrRejected, ())
+{
+  const std::string config =
+    R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/a/",)"
+    R"("route-type":"safe","timeout-ms":800,"target-latency-ms":100,)"
+    R"("priority":1,"max-attempts":2,"fanout-services":["g0","g1"],)"
+    R"("top-k":5,"min-success-share":0.9}],"services":[{"name":"g0",)"
+    R"("max-connections":30,"warmup-per-s":1}],"limits":)"
+    R"({"max-header-bytes":8192,"max-body-bytes":65536}})";
+  const auto mutate = [](std::string aText) {
+    const auto changes = *rc::gen::inRange(1, 5);
+    for (int n = 0; n < changes && !aText.empty(); ++n) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, aText.size());
+      if (*rc::gen::arbitrary<bool>()) {
+        aText[at] = *rc::gen::arbitrary<char>();
+      } else {
+        aText.insert(at,
+                     *rc::gen::element<std::string>(
+                       "[", "-1", "1e999", "{}", "null", ",", "\""));
+      }
+    }
+    return aText;
+  };
+  const auto change = DecodeEntry("op/config", mutate(config));
+  RC_ASSERT(std::holds_alternative<ConfigPublished>(change) ||
+            std::holds_alternative<InvalidEntry>(change));
+  const auto reply = DecodeReply(
+    200,
+    mutate(R"({"items":[{"key":"op/config","value":")" + Base64(config) +
+           R"(","revision":7,"created":7,"lease":0}],"has-more":true,)"
+           R"("store-revision":9})"));
+  RC_ASSERT(reply.changes.size() <= 1U);
+}
+
 } // namespace bronzedeal::platform
