Let the response memory outlive the connections of the event loop

Cause: connections that pending handlers hold are destroyed with the context, after the ResponseMemory that their charges refer to. Change: the order of the members of Process.

--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -18,10 +18,11 @@
 {
   Process(Settings aSettings, DecisionLog::Sink aSink);
 
+  /// Outlives the connections that the context's handlers hold.
+  ResponseMemory responseMemory;
   boost::asio::io_context context{ 1 };
   Settings settings;
   TimerQueue timers{ context };
-  ResponseMemory responseMemory;
   process::Metrics metrics;
   DecisionLog log;
   PeerTable peers;
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 Process::Process(Settings aSettings, DecisionLog::Sink aSink)
-  : settings(std::move(aSettings))
-  , responseMemory(settings.memoryBytes / kResponseMemoryDivisor)
+  : responseMemory(aSettings.memoryBytes / kResponseMemoryDivisor)
+  , settings(std::move(aSettings))
   , log(settings.instance, std::move(aSink))
   , peers(InitialSelfState(settings), PeerTable::Options{})
   , fleetShares(settings.instance)
