Play second copies of answers and malformed messages on whole processes

Change: tests only. A server of the stand-in sends a copy of each answer at once, 3 or 20 ms later; random and malformed bytes go to each port of an instance.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -180,7 +180,8 @@
     Times are in seconds: `work_s` is the time that each request takes, and
     answers are held back until `pause_until`. `fail_share` of the answers have
     status 500; `lose_share` of them are replaced by closing the connection.
-    With `endless`, the named part of each answer never ends.
+    With `endless`, the named part of each answer never ends. With
+    `copy_after_s`, a second copy of each answer follows on the same connection.
     """
 
     def __init__(self, store, history, ident, group, zone):
@@ -191,6 +192,7 @@
         self.fail_share = 0.0
         self.lose_share = 0.0
         self.endless = None
+        self.copy_after_s = None
         self.sequence = 0
         self.state = "ready"
         self.listener = None
@@ -257,6 +259,13 @@
         self.history.add("part", server=self.id, group=self.group, id=ident,
                          stamp=stamp, body=body)
         call.reply(200, {"Server-Stamp": stamp, "Request-Id": ident}, body)
+        if self.copy_after_s is not None:
+            time.sleep(self.copy_after_s)
+            try:
+                call.reply(200, {"Server-Stamp": stamp, "Request-Id": ident},
+                           body)
+            except OSError:
+                pass  # The gateway has closed the connection.
 
     def send_without_end(self, call):
         """Sends an answer whose part `endless` goes on until the peer closes."""
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -1,7 +1,9 @@
 """Runs whole gateway processes on a simulated platform."""
 
 import http.client
+import random
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -166,6 +168,56 @@
         self.assertGreaterEqual(answers.count(200), 0.99 * len(answers))
         self.assert_no_violations()
 
+    def test_drops_second_copies_of_answers(self):
+        """Guards against answers of another request on a reused connection."""
+        world = self.world
+        for delay in (0.0, 0.003, 0.02):
+            for number, server in enumerate(world.servers):
+                server.copy_after_s = delay if number % 2 == 0 else None
+            statuses = []
+
+            def call(delay=delay):
+                for kind in ("all", "read", "write") * 10:
+                    statuses.append(world.call(
+                        kind, random.choice(world.instances)).status)
+                    time.sleep(delay / 4)
+            callers = [threading.Thread(target=call) for _ in range(4)]
+            for it in callers:
+                it.start()
+            for it in callers:
+                it.join()
+            self.assertGreater(statuses.count(200), len(statuses) / 2, delay)
+        self.assert_no_violations()
+
+    def test_survives_malformed_messages(self):
+        """Guards against one malformed message that ends a process."""
+        world = self.world
+        instance = world.instances[0]
+        choice = random.Random(1)
+        starts = (b"", b"[[", b'[["10.0.0.1","x","z",1,2,0.5,3,100]]',
+                  b'[["10.0.0.1","x","z",-1,1e999,0.5,3,100]]',
+                  b"GET /all/1 HTTP/1.1\r\nHost: shop.example\r\n",
+                  b"POST /all/1 HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                  b"GET /metadata HTTP/1.1\r\nX-Bronzedeal-Metadata-After: "
+                  b"0 0 0 0 9223372036854775807\r\n\r\n",
+                  b"GET / HTTP/1.1\r\nX-Bronzedeal-Shards: a=b\r\n"
+                  b"X-Bronzedeal-Partial: 99999999999999999 0 "
+                  b"9223372036854775807 9223372036854775807 0\r\n\r\n")
+        for _ in range(60):
+            data = choice.choice(starts) + choice.randbytes(
+                choice.choice((0, 3, 200)))
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                host, port = instance.address("inner").split(":")
+                sender.sendto(data, (host, int(port)))
+            for role in ("front", "ready", "directory", "inner"):
+                host, port = instance.address(role).split(":")
+                with socket.create_connection((host, int(port)), 3) as sender:
+                    sender.sendall(data)
+        for kind in ("all", "read", "write"):
+            self.assertEqual(200, world.call(kind, instance).status, kind)
+        self.assertIsNone(instance.process.poll())
+        self.assert_no_violations()
+
     def test_keeps_valid_settings_on_an_invalid_reload(self):
         """Guards against invalid settings that replace valid ones on SIGHUP."""
         world = self.world
