Log the request limits that servers state

The logs named neither a server's statement nor the requests that one instance sends to one server. Change: answers are searched for the statement; the event server_limit (one line when it begins and ends, one each 2 s between) gives it with the own rate of sends, the gauge bronzedeal_servers_limiting the number of such servers. Nothing is decided from it yet. An answer without a statement ends the limit only if its request was sent after the last statement had arrived.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzedeal/gateway/cold_allowance.hpp"
+#include "bronzedeal/gateway/rate_limit.hpp"
 #include "bronzedeal/gateway/replica_cost.hpp"
 #include "bronzedeal/gateway/server_connection.hpp"
 #include "bronzedeal/gateway/server_record.hpp"
@@ -92,6 +93,9 @@
 {
 public:
   BackendServer(Process& aProcess, ServerRecord aRecord);
+  ~BackendServer();
+  BackendServer(const BackendServer&) = delete;
+  BackendServer& operator=(const BackendServer&) = delete;
 
   [[nodiscard]] const ServerRecord& Record() const noexcept { return mRecord; }
 
@@ -164,6 +168,13 @@
   /// server likely dropped its state. Stops reuse of connections with a similar
   /// idle time for a while.
   void LimitReusableIdleTime(Duration aIdleTime, TimePoint aNow);
+  /// Applies the rate that the server states in an answer, or that it states
+  /// none.
+  void ApplyStatedRate(const ResponseMessage& aResponse,
+                       TimePoint aSentAt,
+                       TimePoint aNow);
+  /// Logs the limit and the own sends when it begins or ends, and at intervals.
+  void LogRateLimit(std::optional<double> aFormer, TimePoint aNow);
   void OnExpired(const std::shared_ptr<Attempt>& aAttempt);
   void Finish(const std::shared_ptr<Attempt>& aAttempt,
               AttemptResult aResult,
@@ -186,6 +197,8 @@
   ServerRecord mRecord;
   TimePoint mColdUntil{};
   ColdAllowance mAllowance;
+  RateLimit mRateLimit;
+  TimePoint mRateLimitLoggedAt{};
   std::size_t mMaxConnections = 1;
   std::deque<std::shared_ptr<Attempt>> mQueue;
   std::vector<std::shared_ptr<ServerConnection>> mIdleConnections;
--- a/include/bronzedeal/gateway/header_names.hpp
+++ b/include/bronzedeal/gateway/header_names.hpp
@@ -22,6 +22,9 @@
   std::string partSignatures = "X-Part-Signatures";
   /// Number of shards that are missing from a merged answer.
   std::string missingShards = "X-Missing-Shards";
+  /// Requests per second that a server accepts from all instances together; a
+  /// decimal number, present while the server limits them.
+  std::string rateLimit = "X-Rate-Limit";
 };
 
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -60,6 +60,7 @@
   ServersKnown,
   FormerVersions,
   WithdrawnInFlight,
+  ServersLimiting,
   Count,
 };
 
@@ -75,6 +76,7 @@
 
   void Add(Counter aCounter, double aAmount = 1) noexcept;
   void Set(Gauge aGauge, double aValue) noexcept;
+  void Add(Gauge aGauge, double aAmount) noexcept;
   [[nodiscard]] double Value(Counter aCounter) const noexcept;
   [[nodiscard]] double Value(Gauge aGauge) const noexcept;
 
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -43,6 +43,9 @@
 /// An unused server gives no samples. Its relative latency and failure rate
 /// decay towards normal with this half-life, so that it is tried again.
 constexpr double kStatsHalfLifeSeconds = 1.5;
+/// While a server limits its requests, the log has one line for it in this
+/// interval.
+constexpr auto kRateLimitLogInterval = milliseconds(2000);
 /// Bounds of one sample of the relative latency.
 constexpr double kMinRelativeLatency = 0.4;
 constexpr double kMaxRelativeLatency = 20;
@@ -66,6 +69,13 @@
   Update(std::move(aRecord), steady_clock::now());
 }
 
+BackendServer::~BackendServer()
+{
+  if (mRateLimit.RequestsPerSecond()) {
+    mProcess.metrics.Add(process::Gauge::ServersLimiting, -1);
+  }
+}
+
 void BackendServer::Update(ServerRecord aRecord, TimePoint aNow)
 {
   if (aRecord.remainingColdTime.count() > 0) {
@@ -343,6 +353,7 @@
                              request.deadline - aAttempt->sentAt)
                              .count());
   mInFlight.push_back(aAttempt);
+  mRateLimit.OnSend(aAttempt->sentAt);
   mProcess.metrics.Add(process::Counter::SubRequestsServed);
   if (mRecord.failureDomain != mProcess.settings.failureDomain) {
     mProcess.metrics.Add(process::Counter::SubRequestsCrossing);
@@ -432,6 +443,9 @@
   if (connection->IsReusable(now) && !mRetired) {
     mIdleConnections.push_back(connection);
   }
+  if (aResponse->result_int() != 421) {
+    ApplyStatedRate(*aResponse, aAttempt->sentAt, now);
+  }
   if (aResponse->result_int() == 421) {
     mMisdirectedUntil = now + kMisdirectedPause;
     mProcess.log.Write("server_replaced",
@@ -450,6 +464,42 @@
   ProcessQueue();
 }
 
+void BackendServer::ApplyStatedRate(const ResponseMessage& aResponse,
+                                    TimePoint aSentAt,
+                                    TimePoint aNow)
+{
+  const auto& name = mProcess.settings.headerNames.rateLimit;
+  const auto former = mRateLimit.RequestsPerSecond();
+  if (const auto it = aResponse.find(name); it == aResponse.end()) {
+    mRateLimit.OnNotStated(aSentAt);
+  } else if (const auto rate = ParseRequestRate(it->value())) {
+    mRateLimit.OnStated(*rate, aNow);
+  }
+  LogRateLimit(former, aNow);
+}
+
+void BackendServer::LogRateLimit(std::optional<double> aFormer, TimePoint aNow)
+{
+  const auto limit = mRateLimit.RequestsPerSecond();
+  const bool begins = limit && !aFormer;
+  const bool ends = !limit && aFormer;
+  if (begins || ends) {
+    mProcess.metrics.Add(process::Gauge::ServersLimiting, begins ? 1 : -1);
+  } else if (!limit || aNow - mRateLimitLoggedAt < kRateLimitLogInterval) {
+    return;
+  }
+  mRateLimitLoggedAt = aNow;
+  mProcess.log.Write("server_limit",
+                     { { "server", mRecord.id },
+                       { "group", mRecord.group },
+                       { "state",
+                         begins ? "begins"
+                         : ends ? "ends"
+                                : "holds" },
+                       { "per_s", limit ? *limit : *aFormer },
+                       { "sent_per_s", mRateLimit.SendRate(aNow) } });
+}
+
 void BackendServer::LimitReusableIdleTime(Duration aIdleTime, TimePoint aNow)
 {
   if (aIdleTime < kMinDroppedIdleTime) {
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -72,6 +72,8 @@
   { "bronzedeal_former_versions", "Former versions with requests in progress" },
   { "bronzedeal_withdrawn_in_flight",
     "Requests in progress at servers of withdrawn failure domains" },
+  { "bronzedeal_servers_limiting",
+    "Backend servers that limit their requests" },
 } };
 
 // Upper bounds in seconds. One lies at 0.17 s, the target for the p99.
@@ -125,6 +127,11 @@
   mImpl->gauges[static_cast<std::size_t>(aGauge)]->Set(aValue);
 }
 
+void Metrics::Add(Gauge aGauge, double aAmount) noexcept
+{
+  mImpl->gauges[static_cast<std::size_t>(aGauge)]->Increment(aAmount);
+}
+
 double Metrics::Value(Counter aCounter) const noexcept
 {
   return mImpl->counters[static_cast<std::size_t>(aCounter)]->Value();
