--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -182,6 +182,8 @@
     status 500; `lose_share` of them are replaced by closing the connection.
     With `endless`, the named part of each answer never ends. With
     `copy_after_s`, a second copy of each answer follows on the same connection.
+    Answers state `request_limit`, the requests per second that the server
+    accepts from all instances together, unless it is None.
     """
 
     def __init__(self, store, history, ident, group, zone):
@@ -193,6 +195,7 @@
         self.lose_share = 0.0
         self.endless = None
         self.copy_after_s = None
+        self.request_limit = None
         self.sequence = 0
         self.state = "ready"
         self.listener = None
@@ -246,6 +249,10 @@
         wait = max(self.work_s, self.pause_until - time.monotonic())
         time.sleep(min(wait, 3))
         stamp = "%s.%s.%06x" % (self.id, ident, self.random.randrange(1 << 24))
+        headers = {"Server-Stamp": stamp, "Request-Id": ident}
+        if self.request_limit is not None:
+            headers["Server-Limit"] = "%.1f" % self.request_limit
+            self.history.add("limit", server=self.id, rate=self.request_limit)
         if self.random.random() < self.lose_share:
             call.close_connection = True
             return
@@ -253,17 +260,16 @@
             self.send_without_end(call)
             return
         if self.random.random() < self.fail_share:
-            call.reply(500, {"Server-Stamp": stamp, "Request-Id": ident}, b"")
+            call.reply(500, headers, b"")
             return
         body = b"".join(self.random.randbytes(16) for _ in range(3))
         self.history.add("part", server=self.id, group=self.group, id=ident,
                          stamp=stamp, body=body)
-        call.reply(200, {"Server-Stamp": stamp, "Request-Id": ident}, body)
+        call.reply(200, headers, body)
         if self.copy_after_s is not None:
             time.sleep(self.copy_after_s)
             try:
-                call.reply(200, {"Server-Stamp": stamp, "Request-Id": ident},
-                           body)
+                call.reply(200, headers, body)
             except OSError:
                 pass  # The gateway has closed the connection.
 
@@ -599,6 +605,31 @@
     return found
 
 
+def limit_violations(history, contact_s=4.0, window_s=4.0):
+    """Servers that got more requests than the limit that they had stated.
+
+    Holds for each window that begins `contact_s` after the server's first
+    statement or later, and ends before its last one.
+    """
+    found = []
+    statements, arrivals = {}, {}
+    for it in history.of("limit"):
+        statements.setdefault(it["server"], []).append(it)
+    for it in history.of("run"):
+        arrivals.setdefault(it["server"], []).append(it["at"])
+    for server, stated in statements.items():
+        begin, end = stated[0]["at"] + contact_s, stated[-1]["at"]
+        allowed = 1.5 * max(it["rate"] for it in stated) * window_s + 5
+        times = [it for it in arrivals[server] if begin <= it <= end]
+        for at in times:
+            count = sum(at <= it < at + window_s for it in times)
+            if count > allowed:
+                found.append("%s: %d requests in %g s, %g allowed" % (
+                    server, count, window_s, allowed))
+                break
+    return found
+
+
 def check_merged(answer, parts, shard_sets):
     ident = answer["id"]
     stamps = [it.strip() for it in
