Obey the request limits that servers state

Cause: no instance read the statement, and nothing on the way to a server counts sends for all kinds of request together. Change: RateLimit, a token bucket for each server, charged in Dispatch, through which every send goes. RateShares divides the rate so that the shares add up to 1, most of it to the serving instances of the server's failure domain. Attempts that were queued before end as not run; a request that no server accepts is refused at once, with a time to return that ReturnSchedule spreads over the rate; instances that gather name the servers that they withhold. Why it works: the bound holds for each window because the shares add up to the limit and a bucket holds one second; the rest of the rule's factor covers views that differ.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -62,6 +62,8 @@
   Expired,
   /// The server was removed, drains or was withdrawn before the send.
   Retired,
+  /// The server accepts no further request now, by the limit that it states.
+  RateLimited,
 };
 
 [[nodiscard]] std::string_view Name(AttemptFault aFault) noexcept;
@@ -106,10 +108,25 @@
   /// Sets the number of connections that this instance may open; at least 1.
   void SetMaxConnections(std::size_t aMaxConnections) noexcept;
 
-  /// True if new requests may be sent: the server is reachable, neither
-  /// draining nor retired, not paused after a refusal or a 421, and the queue
-  /// has room.
-  [[nodiscard]] bool IsUsable(TimePoint aNow) const noexcept;
+  /// True if the server can take requests: it is reachable, neither draining
+  /// nor retired, not paused after a refusal or a 421, and the queue has room.
+  [[nodiscard]] bool IsAvailable(TimePoint aNow) const noexcept;
+
+  /// True if a request may be sent now: the server is available, and the limit
+  /// that it states allows one more.
+  [[nodiscard]] bool IsUsable(TimePoint aNow) const;
+
+  /// Time until the limit that the server states allows a request of this
+  /// instance; 0 if it allows one now.
+  [[nodiscard]] Duration TimeUntilSend(TimePoint aNow) const;
+
+  /// Requests per second that this instance may send by the limit that the
+  /// server states; nothing if it states none.
+  [[nodiscard]] std::optional<double> AllowedRate() const;
+
+  /// Stops sending for this time: by its limit, the instance that gathers for
+  /// this one may send the server nothing.
+  void WithholdFor(Duration aTime, TimePoint aNow) noexcept;
 
   /// Takes one send from this instance's share of what a cold server may
   /// receive; false if the share is used up. Always true for a warm server.
@@ -157,6 +174,8 @@
 private:
   /// Sends queued attempts on idle connections and opens more as needed.
   void ProcessQueue();
+  /// This instance's share of the limit that the server states.
+  [[nodiscard]] double RateShare() const;
   void Dispatch(const std::shared_ptr<Attempt>& aAttempt,
                 const std::shared_ptr<ServerConnection>& aConnection);
   void OpenConnection();
@@ -199,6 +218,7 @@
   ColdAllowance mAllowance;
   RateLimit mRateLimit;
   TimePoint mRateLimitLoggedAt{};
+  TimePoint mWithheldUntil{};
   std::size_t mMaxConnections = 1;
   std::deque<std::shared_ptr<Attempt>> mQueue;
   std::vector<std::shared_ptr<ServerConnection>> mIdleConnections;
--- a/include/bronzedeal/gateway/partial_query.hpp
+++ b/include/bronzedeal/gateway/partial_query.hpp
@@ -44,6 +44,15 @@
   std::string signature;
 };
 
+/// A server that gets no request from the instance that ran a partial query,
+/// because of the limit that the server states.
+struct WithheldServer
+{
+  ServerId server;
+  /// Time until the instance may send it a request.
+  milliseconds wait{ 0 };
+};
+
 /// Returns the header lines that turn a caller's request into a partial query.
 [[nodiscard]] std::string EncodePartialQuery(const PartialQuery& aQuery);
 
@@ -59,6 +68,16 @@
 [[nodiscard]] std::string EncodeShardResults(
   const std::vector<ShardResult>& aResults);
 
+/// Returns the header line that names the withheld servers of a partial answer;
+/// empty if there are none.
+[[nodiscard]] std::string EncodeWithheldServers(
+  const std::vector<WithheldServer>& aServers);
+
+/// Parses the withheld servers of a partial answer. Malformed entries are left
+/// out.
+[[nodiscard]] std::vector<WithheldServer> DecodeWithheldServers(
+  const ResponseMessage& aResponse);
+
 /// Parses the shard results of a partial answer; nullopt if the status isn't
 /// 200 or the header is absent or malformed.
 [[nodiscard]] std::optional<std::vector<ShardResult>> DecodeShardResults(
--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/gateway/decision_log.hpp"
 #include "bronzedeal/gateway/fleet_shares.hpp"
 #include "bronzedeal/gateway/peer_table.hpp"
+#include "bronzedeal/gateway/rate_shares.hpp"
 #include "bronzedeal/gateway/response_memory.hpp"
 #include "bronzedeal/gateway/settings.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
@@ -27,6 +28,7 @@
   DecisionLog log;
   PeerTable peers;
   FleetShares fleetShares;
+  RateShares rateShares;
 };
 
 /// A duration in fractional milliseconds, for logs and costs.
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -2,6 +2,7 @@
 
 #include "bronzedeal/gateway/backend_server.hpp"
 #include "bronzedeal/gateway/retry_budget.hpp"
+#include "bronzedeal/gateway/return_schedule.hpp"
 #include "bronzedeal/gateway/route_table.hpp"
 #include "bronzedeal/gateway/server_changes.hpp"
 
@@ -25,6 +26,7 @@
   std::string name;
   std::vector<std::shared_ptr<BackendServer>> servers;
   RetryBudget retryBudget;
+  ReturnSchedule returnSchedule;
 
   /// All servers of the group that are not in `aExcluded`.
   [[nodiscard]] ServerList ServersExcept(const ServerList& aExcluded) const;
@@ -92,6 +94,17 @@
   [[nodiscard]] bool HasUsableServer(const GroupState& aGroup,
                                      TimePoint aNow) const;
 
+  /// When the limits of the group's servers are the only reason why none may be
+  /// used now: the time until one may be. Otherwise nothing.
+  [[nodiscard]] std::optional<Duration> TimeUntilSend(const GroupState& aGroup,
+                                                      TimePoint aNow) const;
+
+  /// Time after which a caller should return that is refused because of the
+  /// limits of the group's servers, `aWait` before one may be used.
+  [[nodiscard]] Duration ScheduleReturn(GroupState& aGroup,
+                                        Duration aWait,
+                                        TimePoint aNow) const;
+
   [[nodiscard]] std::vector<ServerId> ServerIds() const;
 
   /// Current records of those of the given servers that are known, with the
@@ -113,19 +126,22 @@
   /// Number of known servers.
   [[nodiscard]] std::size_t size() const noexcept { return mById.size(); }
 
-  /// Fraction (0 to 1) of the table's shards that have a usable server in the
-  /// failure domain; 1 if the table has no shards.
+  /// Fraction (0 to 1) of the table's shards that have an available server in
+  /// the failure domain; 1 if the table has no shards.
   [[nodiscard]] double LocalCoverage(const RouteTable& aTable,
                                      const FailureDomain& aDomain,
                                      TimePoint aNow);
 
-  /// Fraction (0 to 1) of the table's shards that have a usable server; 1 if
-  /// the table has no shards.
+  /// Fraction (0 to 1) of the table's shards that have an available server; 1
+  /// if the table has no shards.
   [[nodiscard]] double Coverage(const RouteTable& aTable, TimePoint aNow);
 
 private:
   [[nodiscard]] bool IsEligible(const BackendServer& aServer,
                                 TimePoint aNow) const;
+  /// Like `IsEligible`, whatever the limit of the server allows now.
+  [[nodiscard]] bool IsAvailable(const BackendServer& aServer,
+                                 TimePoint aNow) const;
   /// The usable servers of the group by ascending cost in milliseconds.
   [[nodiscard]] std::vector<std::pair<double, BackendServer*>>
   UsableServersByCost(const GroupState& aGroup,
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -51,9 +51,9 @@
 constexpr double kMaxRelativeLatency = 20;
 
 /// In the order of `AttemptFault`.
-constexpr std::array<std::string_view, 8> kFaultNames{
-  "none",   "connect_failed", "refused", "other_server",
-  "broken", "wrong_request",  "expired", "retired",
+constexpr std::array<std::string_view, 9> kFaultNames{
+  "none",          "connect_failed", "refused", "other_server", "broken",
+  "wrong_request", "expired",        "retired", "rate_limited",
 };
 
 } // namespace
@@ -97,13 +97,45 @@
   mMaxConnections = std::max<std::size_t>(1, aMaxConnections);
 }
 
-bool BackendServer::IsUsable(TimePoint aNow) const noexcept
+bool BackendServer::IsAvailable(TimePoint aNow) const noexcept
 {
   return !mRetired && !mRecord.draining && mReachable &&
          mQueue.size() < kMaxQueuedAttempts && aNow >= mMisdirectedUntil &&
          aNow >= mRefusingUntil;
 }
 
+bool BackendServer::IsUsable(TimePoint aNow) const
+{
+  return IsAvailable(aNow) && aNow >= mWithheldUntil &&
+         (!mRateLimit.RequestsPerSecond() ||
+          mRateLimit.CanSend(RateShare(), aNow, mQueue.size()));
+}
+
+Duration BackendServer::TimeUntilSend(TimePoint aNow) const
+{
+  const auto withheld = std::max(mWithheldUntil - aNow, Duration::zero());
+  return mRateLimit.RequestsPerSecond()
+           ? std::max(withheld, mRateLimit.TimeUntilSend(RateShare(), aNow))
+           : withheld;
+}
+
+std::optional<double> BackendServer::AllowedRate() const
+{
+  return mRateLimit.RequestsPerSecond()
+           ? std::optional(mRateLimit.RefillRate(RateShare()))
+           : std::nullopt;
+}
+
+void BackendServer::WithholdFor(Duration aTime, TimePoint aNow) noexcept
+{
+  mWithheldUntil = std::max(mWithheldUntil, aNow + aTime);
+}
+
+double BackendServer::RateShare() const
+{
+  return mProcess.rateShares.ShareFor(mRecord.failureDomain);
+}
+
 bool BackendServer::IsCold(TimePoint aNow) const noexcept
 {
   return aNow < mColdUntil;
@@ -216,6 +248,11 @@
       Finish(attempt, AttemptResult::NotRun, AttemptFault::Expired, nullptr);
       continue;
     }
+    if (mRateLimit.RequestsPerSecond() &&
+        !mRateLimit.CanSend(RateShare(), now)) {
+      FailQueued(AttemptFault::RateLimited);
+      return;
+    }
     const auto connection = TakeIdleConnection(now);
     if (!connection) {
       break;
@@ -353,7 +390,7 @@
                              request.deadline - aAttempt->sentAt)
                              .count());
   mInFlight.push_back(aAttempt);
-  mRateLimit.OnSend(aAttempt->sentAt);
+  mRateLimit.OnSend(RateShare(), aAttempt->sentAt);
   mProcess.metrics.Add(process::Counter::SubRequestsServed);
   if (mRecord.failureDomain != mProcess.settings.failureDomain) {
     mProcess.metrics.Add(process::Counter::SubRequestsCrossing);
@@ -473,7 +510,8 @@
   if (const auto it = aResponse.find(name); it == aResponse.end()) {
     mRateLimit.OnNotStated(aSentAt);
   } else if (const auto rate = ParseRequestRate(it->value())) {
-    mRateLimit.OnStated(*rate, aNow);
+    mRateLimit.OnStated(
+      *rate, RateShare(), mProcess.fleetShares.PhaseFor(mRecord.id), aNow);
   }
   LogRateLimit(former, aNow);
 }
@@ -497,6 +535,7 @@
                          : ends ? "ends"
                                 : "holds" },
                        { "per_s", limit ? *limit : *aFormer },
+                       { "allowed_per_s", AllowedRate().value_or(0) },
                        { "sent_per_s", mRateLimit.SendRate(aNow) } });
 }
 
--- a/src/gateway/fanout_batches.cpp
+++ b/src/gateway/fanout_batches.cpp
@@ -176,6 +176,9 @@
         { "shards", static_cast<std::int64_t>(batch.shards.size()) } });
   }
   const auto now = steady_clock::now();
+  if (isValidAnswer) {
+    ApplyWithheldServers(*aResponse, now);
+  }
   for (const auto& it : batch.shards) {
     auto& shard = mShards[it.shard];
     const bool mayHaveReachedServer =
@@ -188,7 +191,7 @@
       it.servers.front()->OnUnansweredPartial(
         mServerRequest->profile, now - batch.sentAt, now);
     }
-    if (isValidAnswer && shard.skippedByPeer) {
+    if (isValidAnswer && shard.skippedByPeer && !IsWithheld(it, now)) {
       // The instance does not know the shard's servers.
       mContext.peers.Suspend(batch.peer->Record().id, now);
     }
@@ -205,6 +208,24 @@
   }
 }
 
+void FanoutExchange::ApplyWithheldServers(const ResponseMessage& aResponse,
+                                          TimePoint aNow)
+{
+  for (const auto& it : DecodeWithheldServers(aResponse)) {
+    if (const auto server = mContext.servers.Find(it.server)) {
+      server->WithholdFor(it.wait, aNow);
+    }
+  }
+}
+
+bool FanoutExchange::IsWithheld(const BatchShard& aShard, TimePoint aNow)
+{
+  return std::any_of(
+    aShard.servers.begin(), aShard.servers.end(), [&](const auto& aIt) {
+      return aIt->TimeUntilSend(aNow) > Duration::zero();
+    });
+}
+
 bool FanoutExchange::RecordMergedAnswer(const Batch& aBatch,
                                         ResponseMessage& aResponse)
 {
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t kMaxUnmergedRatio = 4;
 /// Delay before the next try for a shard without a usable server.
 constexpr auto kNoServerRetryDelay = milliseconds(50);
-/// Value of Retry-After in a refusal.
+/// Value of Retry-After in a refusal for another reason than servers' limits.
 constexpr auto kRetryAfter = milliseconds(100);
 
 } // namespace
@@ -184,10 +184,51 @@
     }));
 }
 
+Duration FanoutExchange::RefusalDelay(TimePoint aNow)
+{
+  std::vector<std::pair<Duration, std::size_t>> waits;
+  for (std::size_t n = 0; n < mShards.size(); ++n) {
+    const auto& group = *mShards[n].group;
+    if (mContext.servers.HasUsableServer(group, aNow)) {
+      waits.emplace_back(Duration::zero(), n);
+    } else if (const auto it = mContext.servers.TimeUntilSend(group, aNow)) {
+      waits.emplace_back(*it, n);
+    }
+  }
+  if (mRequiredShards == 0 || waits.size() < mRequiredShards) {
+    return kRetryAfter;
+  }
+  std::sort(waits.begin(), waits.end());
+  const auto& [wait, shard] = waits[mRequiredShards - 1];
+  return wait == Duration::zero()
+           ? kRetryAfter
+           : mContext.servers.ScheduleReturn(*mShards[shard].group, wait, aNow);
+}
+
+std::vector<WithheldServer> FanoutExchange::WithheldServers(
+  TimePoint aNow) const
+{
+  std::vector<WithheldServer> withheld;
+  for (const auto& shard : mShards) {
+    // Allowed servers that have been removed meanwhile are not in the group.
+    for (const auto& it : shard.group->servers) {
+      const bool isAllowed = std::find(shard.allowedServers.begin(),
+                                       shard.allowedServers.end(),
+                                       it.get()) != shard.allowedServers.end();
+      const auto wait =
+        std::chrono::ceil<milliseconds>(it->TimeUntilSend(aNow));
+      if (isAllowed && wait > milliseconds(0)) {
+        withheld.push_back({ it->Record().id, wait });
+      }
+    }
+  }
+  return withheld;
+}
+
 void FanoutExchange::Refuse(std::string_view aReason, std::string_view aCause)
 {
   Process().metrics.Add(process::Counter::QueriesRefused);
-  Finish(RefusedReply(aReason, kRetryAfter), aCause);
+  Finish(RefusedReply(aReason, RefusalDelay(steady_clock::now())), aCause);
 }
 
 bool FanoutExchange::TrySend(std::size_t aShard, TimePoint aNow)
@@ -447,8 +488,10 @@
 void FanoutExchange::FinishMerged()
 {
   CallerReply reply;
-  reply.headers = mIsPartial ? EncodeShardResults(mShards.ShardResults())
-                             : EncodeCoverageHeaders();
+  reply.headers =
+    mIsPartial ? EncodeShardResults(mShards.ShardResults()) +
+                   EncodeWithheldServers(WithheldServers(steady_clock::now()))
+               : EncodeCoverageHeaders();
   reply.body = mShards.MergeRecords(mRequest.route->topRecords);
   if (!mIsPartial) {
     Process().metrics.Add(mShards.IsComplete()
@@ -477,7 +520,8 @@
     });
   const bool mayHaveRun = batchSent || mShards.AnyMayHaveReachedServer();
   Finish(mayHaveRun ? TextReply(504, "too few shards answered in time")
-                    : RefusedReply("too few shards have a server", kRetryAfter),
+                    : RefusedReply("too few shards have a server",
+                                   RefusalDelay(steady_clock::now())),
          aCause);
 }
 
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -69,6 +69,16 @@
   /// Number of shards with a usable server.
   std::size_t CountReachableShards(TimePoint aNow);
 
+  /// Time after which the caller should return if it is refused now: when the
+  /// limits of servers are the reason, the time until enough shards accept a
+  /// request.
+  [[nodiscard]] Duration RefusalDelay(TimePoint aNow);
+
+  /// The servers of this partial query that get no request now because of their
+  /// limits.
+  [[nodiscard]] std::vector<WithheldServer> WithheldServers(
+    TimePoint aNow) const;
+
   /// Expected latency of the shard's fastest server; see `ServerRegistry`.
   [[nodiscard]] double ExpectedShardLatencyMs(const ShardState& aShard,
                                               TimePoint aNow) const;
@@ -130,6 +140,14 @@
                        AttemptFault aFault,
                        ResponseMessage* aResponse);
 
+  /// Stops sending to the servers that the partial answer names as withheld.
+  void ApplyWithheldServers(const ResponseMessage& aResponse, TimePoint aNow);
+
+  /// True if the limit of one of the servers is why the shard may lack an
+  /// answer.
+  [[nodiscard]] static bool IsWithheld(const BatchShard& aShard,
+                                       TimePoint aNow);
+
   /// Records the merged answer of a partial query; false if the response isn't
   /// a valid one.
   bool RecordMergedAnswer(const Batch& aBatch, ResponseMessage& aResponse);
--- a/src/gateway/fleet_shares.cpp
+++ b/src/gateway/fleet_shares.cpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/gateway/rendezvous.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace bronzedeal::gateway {
 
@@ -46,6 +47,14 @@
   return mIsServing ? servingCount : kNonServingDivisor * servingCount;
 }
 
+double FleetShares::PhaseFor(const ServerId& aServer) const
+{
+  return mIsServing
+           ? static_cast<double>(RankFor(aServer)) / Divisor()
+           : static_cast<double>(RendezvousHash(aServer, mSelf)) /
+               static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 unsigned FleetShares::RankFor(const ServerId& aServer) const
 {
   if (!mIsServing) {
--- a/src/gateway/partial_query.cpp
+++ b/src/gateway/partial_query.cpp
@@ -1,5 +1,6 @@
 #include "bronzedeal/gateway/partial_query.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -12,6 +13,9 @@
 constexpr const char* kShardsHeader = "X-Bronzedeal-Shards";
 constexpr const char* kOptionsHeader = "X-Bronzedeal-Partial";
 constexpr const char* kPartsHeader = "X-Bronzedeal-Parts";
+constexpr const char* kWithheldHeader = "X-Bronzedeal-Withheld";
+/// Longest time for which one answer withholds requests from a server.
+constexpr auto kMaxWithheldTime = milliseconds(2000);
 /// Number of values in the options header.
 constexpr std::size_t kOptionCount = 5;
 
@@ -115,6 +119,33 @@
   return fmt::format("{}: {}\r\n", kPartsHeader, text);
 }
 
+std::string EncodeWithheldServers(const std::vector<WithheldServer>& aServers)
+{
+  std::string text;
+  for (const auto& it : aServers) {
+    text += fmt::format(
+      "{}{}={}", text.empty() ? "" : " ", it.server, it.wait.count());
+  }
+  return text.empty() ? text : fmt::format("{}: {}\r\n", kWithheldHeader, text);
+}
+
+std::vector<WithheldServer> DecodeWithheldServers(
+  const ResponseMessage& aResponse)
+{
+  std::vector<WithheldServer> servers;
+  for (const auto it : Split(aResponse[kWithheldHeader], ' ')) {
+    const auto at = it.rfind('=');
+    if (at == std::string_view::npos) {
+      continue;
+    }
+    if (const auto wait = ParseNonNegative(it.substr(at + 1))) {
+      servers.push_back({ std::string(it.substr(0, at)),
+                          std::min(milliseconds(*wait), kMaxWithheldTime) });
+    }
+  }
+  return servers;
+}
+
 std::optional<std::vector<ShardResult>> DecodeShardResults(
   const ResponseMessage& aResponse)
 {
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -29,6 +29,7 @@
   , log(settings.instance, std::move(aSink))
   , peers(InitialSelfState(settings), PeerTable::Options{})
   , fleetShares(settings.instance)
+  , rateShares(settings.failureDomain)
 {
 }
 
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -255,6 +255,43 @@
          !mWithdrawn.contains(aServer.Record().failureDomain);
 }
 
+bool ServerRegistry::IsAvailable(const BackendServer& aServer,
+                                 TimePoint aNow) const
+{
+  return aServer.IsAvailable(aNow) &&
+         !mWithdrawn.contains(aServer.Record().failureDomain);
+}
+
+std::optional<Duration> ServerRegistry::TimeUntilSend(const GroupState& aGroup,
+                                                      TimePoint aNow) const
+{
+  std::optional<Duration> shortest;
+  for (const auto& it : aGroup.servers) {
+    if (IsAvailable(*it, aNow)) {
+      const auto wait = it->TimeUntilSend(aNow);
+      shortest = shortest ? std::min(*shortest, wait) : wait;
+    }
+  }
+  return shortest == Duration::zero() ? std::nullopt : shortest;
+}
+
+Duration ServerRegistry::ScheduleReturn(GroupState& aGroup,
+                                        Duration aWait,
+                                        TimePoint aNow) const
+{
+  double allowedRate = 0;
+  for (const auto& it : aGroup.servers) {
+    if (IsAvailable(*it, aNow)) {
+      allowedRate += it->AllowedRate().value_or(0);
+    }
+  }
+  const auto interval = allowedRate > 0
+                          ? std::chrono::duration_cast<Duration>(
+                              std::chrono::duration<double>(1 / allowedRate))
+                          : aWait;
+  return aGroup.returnSchedule.Next(aWait, interval, aNow);
+}
+
 std::vector<std::pair<double, BackendServer*>>
 ServerRegistry::UsableServersByCost(const GroupState& aGroup,
                                     const RequestProfile& aRequest,
@@ -388,14 +425,14 @@
                                      TimePoint aNow)
 {
   return CoveredShardFraction(aTable, [&](const auto& aIt) {
-    return aIt->Record().failureDomain == aDomain && IsEligible(*aIt, aNow);
+    return aIt->Record().failureDomain == aDomain && IsAvailable(*aIt, aNow);
   });
 }
 
 double ServerRegistry::Coverage(const RouteTable& aTable, TimePoint aNow)
 {
   return CoveredShardFraction(
-    aTable, [&](const auto& aIt) { return IsEligible(*aIt, aNow); });
+    aTable, [&](const auto& aIt) { return IsAvailable(*aIt, aNow); });
 }
 
 } // namespace bronzedeal::gateway
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -22,7 +22,7 @@
 constexpr auto kNoServerRetryDelay = milliseconds(60);
 /// The final reply is sent this long before the deadline.
 constexpr auto kAnswerMargin = milliseconds(30);
-/// Value of Retry-After in a refusal.
+/// Value of Retry-After in a refusal for another reason than servers' limits.
 constexpr auto kRetryAfter = milliseconds(100);
 
 /// A request to one server group: retried if the outcome permits it, and hedged
@@ -267,15 +267,25 @@
       FinishWithoutAnswer("no_attempt_left");
       return;
     }
-    const auto waited = steady_clock::now() - mRequest.caller.receivedAt;
-    if (mReachedServerCount == 0 &&
-        waited >= mRequest.route->objective / kRefusalObjectiveDivisor) {
+    const auto now = steady_clock::now();
+    const auto maxWait = mRequest.caller.receivedAt +
+                         mRequest.route->objective / kRefusalObjectiveDivisor -
+                         now;
+    const auto limitWait = mContext.servers.TimeUntilSend(mGroup, now);
+    if (mReachedServerCount == 0 && limitWait && *limitWait >= maxWait) {
+      mRetryAfter = mContext.servers.ScheduleReturn(mGroup, *limitWait, now);
+      FinishWithoutAnswer("rate_limited");
+      return;
+    }
+    if (mReachedServerCount == 0 && maxWait <= Duration::zero()) {
       // A retry by the caller succeeds sooner than waiting here for a server.
       FinishWithoutAnswer("no_server");
       return;
     }
-    mRetryTimer = Process().timers.Schedule(
-      steady_clock::now() + kNoServerRetryDelay, [self = shared_from_this()] {
+    const auto delay = std::min<Duration>(
+      kNoServerRetryDelay, limitWait.value_or(kNoServerRetryDelay));
+    mRetryTimer =
+      Process().timers.Schedule(now + delay, [self = shared_from_this()] {
         self->mRetryTimer = {};
         self->SendOrFinish();
       });
@@ -304,7 +314,7 @@
       // Detach the unsent attempts first: a refusal promises that the request
       // has not run, so none of them may be sent later.
       Stop();
-      Finish(RefusedReply("no server could take the request", kRetryAfter),
+      Finish(RefusedReply("no server could take the request", mRetryAfter),
              aCause);
     }
   }
@@ -374,6 +384,8 @@
   unsigned mMayHaveRunCount = 0;
   /// Number of attempts that may have reached a server, refused ones included.
   unsigned mReachedServerCount = 0;
+  /// Time after which the caller should return if it is refused.
+  Duration mRetryAfter = kRetryAfter;
   bool mOutcomeUnknown = false;
   bool mAttemptsExhausted = false;
   TimerQueue::Handle mDeadlineTimer;
--- a/tests/gateway/support.hpp
+++ b/tests/gateway/support.hpp
@@ -153,6 +153,8 @@
     // The fleet consists of this instance only.
     process.fleetShares.Update({ process.settings.instance },
                                std::chrono::steady_clock::now());
+    process.rateShares.Update(
+      { { { process.settings.failureDomain, 1 } }, 1, true });
   }
 
   static Settings MakeSettings()
