Charge the bound of a cold server when a request is sent

What callers saw: nothing; a cold server that was paused could get more requests in one second than it bears, and crash. Requests that had waited for a connection to a paused server were sent together. Change: ColdAllowance has CanSend and OnSend in place of TryAcquire; Dispatch charges it, beside the server's stated limit. Attempts that exceed it end as not run and go to another server. The tests of the decision use the new calls with the same bounds. Measured: BackendServer.KeepsTheBoundOfAColdServerWhenRequestsHaveWaited fails before (8 requests in one second, 5 allowed) and passes now.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -62,7 +62,8 @@
   Expired,
   /// The server was removed, drains or was withdrawn before the send.
   Retired,
-  /// The server accepts no further request now, by the limit that it states.
+  /// The server accepts no further request now, by the limit that it states or
+  /// because it is cold.
   RateLimited,
 };
 
@@ -128,9 +129,10 @@
   /// this one may send the server nothing.
   void WithholdFor(Duration aTime, TimePoint aNow) noexcept;
 
-  /// Takes one send from this instance's share of what a cold server may
-  /// receive; false if the share is used up. Always true for a warm server.
-  [[nodiscard]] bool TryAcquireColdAllowance(TimePoint aNow);
+  /// True if this instance's share of what a cold server may receive allows a
+  /// request besides `aPending` others. Always true for a warm server.
+  [[nodiscard]] bool HasColdAllowance(TimePoint aNow,
+                                      std::size_t aPending) const;
   /// True while the server warms up after its start and gets limited traffic.
   [[nodiscard]] bool IsCold(TimePoint aNow) const noexcept;
   /// Time until the server counts as warm; 0 if it already does.
@@ -145,6 +147,12 @@
                            Duration aWaited,
                            TimePoint aNow);
 
+  /// Number of this instance's requests that wait for a connection.
+  [[nodiscard]] std::size_t QueuedCount() const noexcept
+  {
+    return mQueue.size();
+  }
+
   /// Number of this instance's requests in progress at the server.
   [[nodiscard]] std::size_t InFlightCount() const noexcept
   {
@@ -174,6 +182,8 @@
 private:
   /// Sends queued attempts on idle connections and opens more as needed.
   void ProcessQueue();
+  /// True if the limits of the server allow one more request now.
+  [[nodiscard]] bool MaySendNow(TimePoint aNow) const;
   /// This instance's share of the limit that the server states.
   [[nodiscard]] double RateShare() const;
   void Dispatch(const std::shared_ptr<Attempt>& aAttempt,
--- a/include/bronzedeal/gateway/cold_allowance.hpp
+++ b/include/bronzedeal/gateway/cold_allowance.hpp
@@ -25,15 +25,20 @@
 class ColdAllowance
 {
 public:
-  /// Counts one request; returns false when the share of the current window is
-  /// used up or zero. `aRank` counts from 0.
-  [[nodiscard]] bool TryAcquire(const ColdServerLimits& aLimits,
-                                unsigned aRank,
-                                unsigned aInstanceCount,
-                                TimePoint aNow);
+  /// True if a request may be sent besides `aPending` others that wait to be
+  /// sent: the share of the current window isn't used up. `aRank` counts from
+  /// 0.
+  [[nodiscard]] bool CanSend(const ColdServerLimits& aLimits,
+                             unsigned aRank,
+                             unsigned aInstanceCount,
+                             TimePoint aNow,
+                             std::size_t aPending = 0) const;
+
+  /// Counts a request that is being sent.
+  void OnSend(TimePoint aNow);
 
 private:
-  /// Times of the requests within the window, oldest first.
+  /// Times of the last requests, oldest first.
   std::deque<TimePoint> mSentAt;
 };
 
--- a/include/bronzedeal/gateway/fleet_shares.hpp
+++ b/include/bronzedeal/gateway/fleet_shares.hpp
@@ -36,8 +36,8 @@
   [[nodiscard]] unsigned RankFor(const ServerId& aServer) const;
 
   /// A number from 0 to 1 for each instance, about evenly distributed over the
-  /// fleet. Periodic work that the instances do for `aServer` starts with it, so
-  /// that they don't all do it at the same time.
+  /// fleet. Periodic work that the instances do for `aServer` starts with it,
+  /// so that they don't all do it at the same time.
   [[nodiscard]] double PhaseFor(const ServerId& aServer) const;
 
 private:
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -65,16 +65,15 @@
   [[nodiscard]] GroupState& FindOrCreateGroup(const std::string& aName);
 
   /// Returns the usable server of the group with the lowest cost, except those
-  /// in `aExcluded`; null if there is none. A choice of a cold server takes one
-  /// send from this instance's allowance for it.
+  /// in `aExcluded`; null if there is none.
   [[nodiscard]] std::shared_ptr<BackendServer> ChooseServer(
     GroupState& aGroup,
     const RequestProfile& aRequest,
     const ServerList& aExcluded,
     TimePoint aNow);
 
-  /// Returns up to `aCount` usable servers by ascending cost. Takes nothing
-  /// from the allowance of cold servers.
+  /// Returns up to `aCount` usable servers by ascending cost, whatever the
+  /// allowance of cold servers.
   [[nodiscard]] std::vector<std::shared_ptr<BackendServer>> BestServers(
     const GroupState& aGroup,
     const RequestProfile& aRequest,
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -147,15 +147,21 @@
     std::max(mColdUntil - aNow, Duration::zero()));
 }
 
-bool BackendServer::TryAcquireColdAllowance(TimePoint aNow)
+bool BackendServer::HasColdAllowance(TimePoint aNow, std::size_t aPending) const
 {
-  if (!IsCold(aNow)) {
-    return true;
-  }
-  return mAllowance.TryAcquire(mProcess.settings.coldServerLimits,
-                               mProcess.fleetShares.RankFor(mRecord.id),
-                               mProcess.fleetShares.Divisor(),
-                               aNow);
+  return !IsCold(aNow) ||
+         mAllowance.CanSend(mProcess.settings.coldServerLimits,
+                            mProcess.fleetShares.RankFor(mRecord.id),
+                            mProcess.fleetShares.Divisor(),
+                            aNow,
+                            aPending);
+}
+
+bool BackendServer::MaySendNow(TimePoint aNow) const
+{
+  const bool isBelowLimit =
+    !mRateLimit.RequestsPerSecond() || mRateLimit.CanSend(RateShare(), aNow);
+  return isBelowLimit && HasColdAllowance(aNow, 0);
 }
 
 ReplicaStats BackendServer::Stats(TimePoint aNow) const noexcept
@@ -248,8 +254,7 @@
       Finish(attempt, AttemptResult::NotRun, AttemptFault::Expired, nullptr);
       continue;
     }
-    if (mRateLimit.RequestsPerSecond() &&
-        !mRateLimit.CanSend(RateShare(), now)) {
+    if (!MaySendNow(now)) {
       FailQueued(AttemptFault::RateLimited);
       return;
     }
@@ -391,6 +396,9 @@
                              .count());
   mInFlight.push_back(aAttempt);
   mRateLimit.OnSend(RateShare(), aAttempt->sentAt);
+  if (IsCold(aAttempt->sentAt)) {
+    mAllowance.OnSend(aAttempt->sentAt);
+  }
   mProcess.metrics.Add(process::Counter::SubRequestsServed);
   if (mRecord.failureDomain != mProcess.settings.failureDomain) {
     mProcess.metrics.Add(process::Counter::SubRequestsCrossing);
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -325,7 +325,7 @@
 {
   for (const auto& [cost, server] :
        UsableServersByCost(aGroup, aRequest, aExcluded, aNow)) {
-    if (server->TryAcquireColdAllowance(aNow)) {
+    if (server->HasColdAllowance(aNow, server->QueuedCount())) {
       return server->shared_from_this();
     }
   }
--- a/tests/gateway/backend_server_test.cpp
+++ b/tests/gateway/backend_server_test.cpp
@@ -103,6 +103,50 @@
   EXPECT_EQ(server.ConnectionCount(), 3U);
 }
 
+// Guards against requests to a cold server that wait for a connection and are
+// then all sent within one second, more than the server can take.
+TEST(BackendServer, KeepsTheBoundOfAColdServerWhenRequestsHaveWaited)
+{
+  TestGateway fixture;
+  const auto start = steady_clock::now();
+  const auto wakeUp = start + milliseconds(2900);
+  std::vector<TimePoint> arrivals;
+  ScriptedServer server(fixture.process.context, [&](auto&) {
+    const auto now = steady_clock::now();
+    arrivals.push_back(now);
+    Reaction reaction{ Response(200, "", "ok") };
+    reaction.delay = std::max(wakeUp - now, Duration::zero());
+    return reaction;
+  });
+  auto record = MakeRecord(server.Address());
+  record.remainingColdTime = std::chrono::seconds(20);
+  fixture.servers.Upsert(record, start);
+  auto& group = fixture.servers.FindOrCreateGroup("g0");
+  fixture.servers.Find("s-0")->SetMaxConnections(4);
+  for (const auto delay :
+       { milliseconds(0), milliseconds(1300), milliseconds(2600) }) {
+    fixture.RunUntil([&] { return steady_clock::now() >= start + delay; });
+    for (int n = 0; n < 5; ++n) {
+      if (const auto chosen = fixture.servers.ChooseServer(
+            group, RequestProfile{}, {}, steady_clock::now())) {
+        chosen->Send(MakeRequest(), [](auto, auto, auto*) {});
+      }
+    }
+  }
+  fixture.RunUntil(
+    [&] { return steady_clock::now() >= wakeUp + milliseconds(500); });
+  const auto& limits = fixture.process.settings.coldServerLimits;
+  for (const auto& it : arrivals) {
+    EXPECT_LE(std::count_if(arrivals.begin(),
+                            arrivals.end(),
+                            [&](const auto& aOther) {
+                              return aOther >= it &&
+                                     aOther < it + std::chrono::seconds(1);
+                            }),
+              limits.slackRequests);
+  }
+}
+
 // Guards against retrying on a full server immediately until the retry budget
 // of its group is used up.
 TEST(BackendServer, IsUnusableForAMomentAfterARefusal)
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -107,7 +107,8 @@
   for (std::int64_t ms = 0; ms < 6000; ms += 20) {
     unsigned sent = 0;
     for (unsigned n = 0; n < instances; ++n) {
-      while (allowances[n].TryAcquire(limits, n, instances, At(ms))) {
+      while (allowances[n].CanSend(limits, n, instances, At(ms))) {
+        allowances[n].OnSend(At(ms));
         ++sent;
       }
     }
@@ -133,9 +134,11 @@
   limits.requestsPerSecond = 40;
   ColdAllowance allowance;
   unsigned sent = 0;
-  EXPECT_TRUE(allowance.TryAcquire(limits, 0, 1, At(0)));
+  EXPECT_TRUE(allowance.CanSend(limits, 0, 1, At(0)));
+  allowance.OnSend(At(0));
   for (std::int64_t ms = 1200; ms < 2000; ms += 10) {
-    while (allowance.TryAcquire(limits, 0, 1, At(ms))) {
+    while (allowance.CanSend(limits, 0, 1, At(ms))) {
+      allowance.OnSend(At(ms));
       ++sent;
     }
   }
