Log the history that answers of the metadata service belong to

The logs didn't tell from which revision an instance watched and which history the answer belonged to. Change: the store's era is decoded with each answer, also with 410 and 503; the event metadata_era names both eras and both revisions when it changes. Nothing is decided from it yet.

--- a/include/bronzedeal/gateway/metadata_follower.hpp
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -49,6 +49,8 @@
   };
 
   void ListPage();
+  /// Logs when the service's history has changed since the last reply.
+  void NoteEra(const MetadataReply& aReply);
   /// Counts the reply in the metrics if the service itself answered.
   void CountServiceCall(const MetadataReply& aReply);
   void OnListReply(MetadataReply aReply);
@@ -79,6 +81,7 @@
   std::minstd_rand mRandom;
   ListProgress mListProgress;
   std::uint64_t mRevision = 0;
+  std::optional<MetadataEra> mEra;
   bool mIsSynchronized = false;
   Duration mBackoff{};
   bool mDisconnected = false;
--- a/include/bronzedeal/gateway/metadata_source.hpp
+++ b/include/bronzedeal/gateway/metadata_source.hpp
@@ -3,7 +3,9 @@
 #include "bronzedeal/gateway/route_config.hpp"
 #include "bronzedeal/gateway/server_record.hpp"
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -11,6 +13,9 @@
 
 namespace bronzedeal::gateway {
 
+/// Number of a history of the metadata service.
+using MetadataEra = std::uint64_t;
+
 /// A part of the metadata that is read separately, because the parts change at
 /// different rates.
 enum class MetadataTopic
@@ -95,6 +100,10 @@
 struct MetadataReply
 {
   MetadataStatus status = MetadataStatus::Unavailable;
+  /// The history that the revisions belong to; absent if the source doesn't
+  /// tell. Rises when the service has lost changes, for example by a restore
+  /// from a copy: from then on it gives out revisions again.
+  std::optional<MetadataEra> era;
   /// Revision of the source at the time of the reply.
   std::uint64_t revision = 0;
   std::vector<RevisionedChange> changes;
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -148,9 +148,26 @@
   }
 }
 
+void MetadataFollower::NoteEra(const MetadataReply& aReply)
+{
+  if (!aReply.era || aReply.era == mEra) {
+    return;
+  }
+  mProcess.log.Write(
+    "metadata_era",
+    { { "topic", TopicName(mTopic) },
+      { "era", static_cast<std::int64_t>(*aReply.era) },
+      { "former", mEra ? static_cast<std::int64_t>(*mEra) : -1 },
+      { "followed_revision", static_cast<std::int64_t>(mRevision) },
+      { "revision", static_cast<std::int64_t>(aReply.revision) },
+      { "list_in_progress", !mListProgress.pageToken.empty() } });
+  mEra = aReply.era;
+}
+
 void MetadataFollower::OnListReply(MetadataReply aReply)
 {
   CountServiceCall(aReply);
+  NoteEra(aReply);
   if (aReply.status == MetadataStatus::SourceChanged) {
     mListProgress = {};
     RunAfter(kSourceChangePause, &MetadataFollower::ListPage);
@@ -232,6 +249,7 @@
 void MetadataFollower::OnWatchReply(MetadataReply aReply)
 {
   CountServiceCall(aReply);
+  NoteEra(aReply);
   switch (aReply.status) {
     case MetadataStatus::HistoryCompacted:
       mProcess.log.Write(
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -234,6 +234,7 @@
 {
   const auto list = DecodeReply(
     200,
+    "",
     R"({"items":[{"key":"servers/i-1","value":")" + Base64(kServerJson) +
       R"(","revision":5,"created":5,"lease":0}],"has-more":true,)"
       R"("store-revision":9})");
@@ -244,6 +245,7 @@
   EXPECT_NE(ServerOf(list.changes[0].change), nullptr);
   const auto watch =
     DecodeReply(200,
+                "",
                 R"({"events":[{"key":"servers/i-2","revision":10,)"
                 R"("deleted":true}],"store-revision":10})");
   ASSERT_EQ(watch.changes.size(), 1U);
@@ -255,16 +257,22 @@
 // an empty list.
 TEST(StoreClient, ReportsErrorsAndMalformedResponsesAsUnavailable)
 {
-  EXPECT_EQ(DecodeReply(410, "").status, MetadataStatus::HistoryCompacted);
+  EXPECT_EQ(DecodeReply(410, "", "").status, MetadataStatus::HistoryCompacted);
+  EXPECT_EQ(DecodeReply(410, "3", "").era, MetadataEra{ 3 });
+  EXPECT_EQ(DecodeReply(503, "4", "").era, MetadataEra{ 4 });
+  for (const auto* it : { "", "x", "-1", "3 ", "99999999999999999999" }) {
+    EXPECT_FALSE(DecodeReply(503, it, "").era.has_value()) << it;
+  }
   for (const unsigned status : { 429U, 503U, 500U }) {
-    EXPECT_EQ(DecodeReply(status, "{}").status, MetadataStatus::Unavailable);
+    EXPECT_EQ(DecodeReply(status, "", "{}").status,
+              MetadataStatus::Unavailable);
   }
   for (const auto* body : { "",
                             "{}",
                             "[]",
                             R"({"items":[{}]})",
                             R"({"items":7,"store-revision":1})" }) {
-    EXPECT_EQ(DecodeReply(200, body).status, MetadataStatus::Unavailable)
+    EXPECT_EQ(DecodeReply(200, "", body).status, MetadataStatus::Unavailable)
       << body;
   }
 }
@@ -298,6 +306,7 @@
             std::holds_alternative<InvalidEntry>(change));
   const auto reply = DecodeReply(
     200,
+    "",
     mutate(R"({"items":[{"key":"op/config","value":")" + Base64(config) +
            R"(","revision":7,"created":7,"lease":0}],"has-more":true,)"
            R"("store-revision":9})"));
