--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -70,6 +70,7 @@
 
     `mode` is "ok", "silent" (the connection closes after 3 s without an
     answer), "reset" (the connection is reset) or "busy" (status 503).
+    `on_range` replaces `read_page` for the pages of lists.
     """
 
     MAX_EVENTS = 500
@@ -80,7 +81,9 @@
         self.log = []
         self.revision = 1
         self.history_from = 0
+        self.era = 1
         self.mode = "ok"
+        self.on_range = None
         store = self
 
         class Handler(QuietHandler):
@@ -112,6 +115,19 @@
                                  "deleted": True})
                 self.changed.notify_all()
 
+    def copy(self):
+        """What a later `restore` brings back."""
+        with self.changed:
+            return dict(self.items), list(self.log), self.revision
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is lost."""
+        with self.changed:
+            self.items, self.log, self.revision = (
+                dict(copy[0]), list(copy[1]), copy[2])
+            self.era += 1
+            self.changed.notify_all()
+
     def compact(self):
         with self.changed:
             self.history_from = self.revision
@@ -129,7 +145,7 @@
             call.close_connection = True
             return
         if self.mode == "busy":
-            call.reply(503, {}, b"{}")
+            call.reply(503, {"Store-Era": str(self.era)}, b"{}")
             return
         url = urllib.parse.urlparse(call.path)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
@@ -138,10 +154,14 @@
             status, body = self.range(query)
         elif url.path == "/api/kv-watch":
             status, body = self.watch(query)
-        call.reply(status, {"Content-Type": "application/json"},
+        call.reply(status, {"Content-Type": "application/json",
+                            "Store-Era": str(self.era)},
                    json.dumps(body).encode())
 
     def range(self, query):
+        return (self.on_range or self.read_page)(query)
+
+    def read_page(self, query):
         with self.changed:
             keys = sorted(it for it in self.items
                           if it.startswith(query["prefix"])
@@ -156,7 +176,7 @@
             query["wait-ms"]) / 1000
         with self.changed:
             while True:
-                if after < self.history_from:
+                if not self.history_from <= after <= self.revision:
                     return 410, {}
                 events = [it for it in self.log if it["revision"] > after
                           and it["key"].startswith(query["prefix"])]
@@ -520,12 +540,17 @@
         routes += [{"name": "x%d" % n, "prefix": "/x%d/" % n, "route-type":
                     "safe", "service": "ledger", **host} for n in range(extra)]
         self.history.add("config", shards=list(self.shards))
-        self.store.put("op/config", {
+        self.config = {
             "version": self.version, "routes": routes,
             "services": [{"name": it, "max-connections": 30, "warmup-per-s": 1}
                          for it in self.shards + ["ledger"]],
             "limits": {"max-header-bytes": 8192, "max-body-bytes": 65536,
-                       "header-timeout-ms": 2000, "idle-timeout-ms": 10000}})
+                       "header-timeout-ms": 2000, "idle-timeout-ms": 10000}}
+        self.republish()
+
+    def republish(self):
+        """Writes the newest configuration again."""
+        self.store.put("op/config", self.config)
 
     def wait(self, condition, seconds=15):
         end = time.monotonic() + seconds
