Tell the histories of the metadata service apart

What callers saw: an instance that was frozen while the store came back from a copy ran requests by a former version, or answered 404 for routes that were there, until the next version; a withdrawal or a drain that the copy lacked would have been undone at once. Cause: the follower kept a revision without the history that it belongs to. Once the store has given out that revision again, an answer from the other history looks like one without changes. Change: MetadataHistory, one for all topics, orders eras. With a new one, both topics end their calls and list again, also between the pages of a list. For 2.3 s such a list only adds to what is known; then each topic lists once more. Records of servers carry their registration number, so that older ones are told. Relayed answers carry the era; a relay of a former history is left. The age of relayed data counts from the last complete list or watch, not from any answer. Why it works: nothing is read on from a revision of another history, and what the store has lost is kept until those who wrote it have written it again.

--- a/include/bronzedeal/gateway/metadata_follower.hpp
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -29,11 +29,12 @@
   /// True while calls to the source fail.
   [[nodiscard]] bool IsDisconnected() const noexcept { return mDisconnected; }
 
-  /// When the source last answered; the time of the start before the first
-  /// answer.
+  /// The time as of which all changes have been applied: that of the last
+  /// answer to a watch, or of the first page of a list that is complete. The
+  /// time of the start before that.
   [[nodiscard]] TimePoint LastContactTime() const noexcept
   {
-    return mLastContactTime;
+    return mCompleteAsOf;
   }
   /// True once all pages of a list have been applied.
   [[nodiscard]] bool IsSynchronized() const noexcept { return mIsSynchronized; }
@@ -44,13 +45,23 @@
   {
     std::string pageToken;
     std::uint64_t revision = 0;
+    /// When the first page arrived.
+    TimePoint beganAt{};
     std::set<ServerId> servers;
     std::set<FailureDomain> domains;
   };
 
   void ListPage();
-  /// Logs when the service's history has changed since the last reply.
-  void NoteEra(const MetadataReply& aReply);
+  /// Begins a list, without the pages read so far.
+  void ListAgain();
+  /// Applies the history that the reply belongs to; returns false if the reply
+  /// must be dropped, and then continues with a list.
+  bool AcceptsHistory(const MetadataReply& aReply);
+  /// Called when a new history of the service begins: the followed revision and
+  /// the pages read so far mean nothing there.
+  void OnNewHistory();
+  /// Lists again once the entries that the service had lost are written again.
+  void ConfirmAfterSettling();
   /// Counts the reply in the metrics if the service itself answered.
   void CountServiceCall(const MetadataReply& aReply);
   void OnListReply(MetadataReply aReply);
@@ -63,6 +74,11 @@
   /// Removes a server, unless its entry may be registered again soon.
   void RemoveOrDeferServer(const ServerId& aServer, std::string_view aReason);
   void RemoveExpiredServers();
+  /// True while deleted or missing entries may be written again.
+  [[nodiscard]] bool AwaitsReregistration(TimePoint aNow) const;
+  /// True while entries may be those of a copy. A relaying instance waits
+  /// itself until they are written again.
+  [[nodiscard]] bool IsSettling(TimePoint aNow) const;
   void OnFailure(const MetadataReply& aReply);
   void OnContact();
   void RunAfter(Duration aDelay, void (MetadataFollower::*aStep)());
@@ -81,12 +97,17 @@
   std::minstd_rand mRandom;
   ListProgress mListProgress;
   std::uint64_t mRevision = 0;
-  std::optional<MetadataEra> mEra;
   bool mIsSynchronized = false;
+  /// The next step must be a list.
+  bool mMustListAgain = false;
+  /// The last reply came from another instance, whose revisions don't depend on
+  /// the history of the service.
+  bool mIsRelayed = false;
   Duration mBackoff{};
   bool mDisconnected = false;
   TimePoint mDisconnectedSince{};
   TimePoint mLastContactTime{};
+  TimePoint mCompleteAsOf{};
   /// Until when deleted entries may be registered again (see
   /// kReregistrationGrace).
   TimePoint mReregistrationUntil{};
--- a/include/bronzedeal/gateway/metadata_relay.hpp
+++ b/include/bronzedeal/gateway/metadata_relay.hpp
@@ -15,8 +15,8 @@
 class MetadataRelay
 {
 public:
-  /// Returns when the service last answered this instance; nothing when the
-  /// instance doesn't read the service itself.
+  /// Returns when the service last told this instance all changes; nothing when
+  /// the instance doesn't read the service itself.
   using LastContactProvider = std::function<std::optional<TimePoint>()>;
 
   MetadataRelay(Process& aProcess,
--- a/include/bronzedeal/gateway/metadata_source.hpp
+++ b/include/bronzedeal/gateway/metadata_source.hpp
@@ -16,6 +16,10 @@
 /// Number of a history of the metadata service.
 using MetadataEra = std::uint64_t;
 
+/// After an outage of the service, or its return from a copy, what has expired
+/// or was lost is written again within about two seconds.
+inline constexpr auto kReregistrationGrace = milliseconds(2300);
+
 /// A part of the metadata that is read separately, because the parts change at
 /// different rates.
 enum class MetadataTopic
@@ -143,6 +147,10 @@
                      milliseconds aWait,
                      Duration aTimeout,
                      Handler aHandler) = 0;
+
+  /// Ends the call in progress as `Unavailable`, if it is made to the service
+  /// itself. Does nothing without one.
+  virtual void Cancel(MetadataTopic aTopic) { static_cast<void>(aTopic); }
 };
 
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -2,6 +2,7 @@
 
 #include "bronzedeal/gateway/decision_log.hpp"
 #include "bronzedeal/gateway/fleet_shares.hpp"
+#include "bronzedeal/gateway/metadata_history.hpp"
 #include "bronzedeal/gateway/peer_table.hpp"
 #include "bronzedeal/gateway/rate_shares.hpp"
 #include "bronzedeal/gateway/response_memory.hpp"
@@ -29,6 +30,7 @@
   PeerTable peers;
   FleetShares fleetShares;
   RateShares rateShares;
+  MetadataHistory metadataHistory;
 };
 
 /// A duration in fractional milliseconds, for logs and costs.
--- a/include/bronzedeal/gateway/relay_message.hpp
+++ b/include/bronzedeal/gateway/relay_message.hpp
@@ -30,6 +30,9 @@
 {
   /// Incarnation of the replying instance.
   Incarnation epoch = 0;
+  /// The history of the service that the replying instance has read; absent if
+  /// it isn't known.
+  std::optional<MetadataEra> era;
   /// Number of the last change that the reply includes.
   std::uint64_t sequence = 0;
   std::vector<ServerRecord> servers;
--- a/include/bronzedeal/gateway/relayed_source.hpp
+++ b/include/bronzedeal/gateway/relayed_source.hpp
@@ -40,6 +40,7 @@
              milliseconds aWait,
              Duration aTimeout,
              Handler aHandler) override;
+  void Cancel(MetadataTopic aTopic) override;
 
 private:
   struct Call;
--- a/include/bronzedeal/gateway/server_record.hpp
+++ b/include/bronzedeal/gateway/server_record.hpp
@@ -23,6 +23,20 @@
   milliseconds remainingColdTime{ 0 };
   /// Start time in Unix milliseconds; tells restarts under the same id apart.
   std::uint64_t startedAtMs = 0;
+  /// Number of the registration since the start of the server.
+  std::uint64_t sequence = 0;
 };
 
+/// True if both records are of the same server run, or `aRecord` of an earlier
+/// one, and `aRecord` was written before `aKnown`.
+[[nodiscard]] inline bool IsOlder(const ServerRecord& aRecord,
+                                  const ServerRecord& aKnown) noexcept
+{
+  if (aRecord.startedAtMs != aKnown.startedAtMs) {
+    return aRecord.startedAtMs < aKnown.startedAtMs;
+  }
+  return aRecord.address == aKnown.address && aRecord.group == aKnown.group &&
+         aRecord.sequence < aKnown.sequence;
+}
+
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -45,6 +45,10 @@
   /// `aReason` goes to the log. Does nothing if the id is unknown.
   void Remove(const ServerId& aId, std::string_view aReason);
 
+  /// True if the record was written before what is known of the server, or not
+  /// after the last record of a server that has been removed.
+  [[nodiscard]] bool IsOutdated(const ServerRecord& aRecord) const;
+
   /// Opens a connection to each server before requests come. Call when this
   /// instance becomes one that callers are directed to.
   void PreconnectAll();
@@ -155,6 +159,7 @@
   void QueuePreconnect(const std::shared_ptr<BackendServer>& aServer);
   void SchedulePreconnect();
   void RecordServerChange(const ServerId& aServer);
+  void RememberRemoved(const ServerRecord& aRecord);
   /// Logs when the last request at the servers of a withdrawn domain has ended,
   /// and polls while requests remain.
   void CheckWithdrawnDomains();
@@ -168,6 +173,10 @@
   /// of their withdrawal.
   std::map<FailureDomain, TimePoint> mDrainingDomains;
   std::deque<std::weak_ptr<BackendServer>> mPreconnectQueue;
+  /// The last records of servers that were removed, and their ids in order of
+  /// removal.
+  std::unordered_map<ServerId, ServerRecord> mRemoved;
+  std::deque<ServerId> mRemovedOrder;
   ServerChanges mChanges;
   std::function<void()> mChangeHandler;
 };
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -180,9 +180,9 @@
     return platform.EncodeAddresses(picked, process.settings.addressTtl);
   }
 
-  /// Time when the metadata service last answered, if this instance is ready
-  /// and reads it directly. Taken from the topic of servers, which changes
-  /// often.
+  /// Time when the metadata service last told all changes, if this instance is
+  /// ready and reads it directly. Taken from the topic of
+  /// servers, which changes often.
   [[nodiscard]] std::optional<TimePoint> LastMetadataContact() const
   {
     const bool readsDirectly =
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -52,9 +52,6 @@
 constexpr auto kMaxBackoff = milliseconds(800);
 /// The same on an instance that callers aren't sent to.
 constexpr auto kNonServingMaxBackoff = milliseconds(2000);
-/// After an outage of the service, servers whose entries have expired register
-/// again within about two seconds.
-constexpr auto kReregistrationGrace = milliseconds(2300);
 /// In an outage at least this long, entries may have expired.
 constexpr auto kMinExpiryOutage = milliseconds(1500);
 
@@ -81,6 +78,11 @@
   , mTopic(aTopic)
   , mRandom(std::random_device{}())
 {
+  mProcess.metadataHistory.OnNewHistory([this, running = mRunning] {
+    if (*running) {
+      OnNewHistory();
+    }
+  });
 }
 
 Duration MetadataFollower::WatchPause(bool aIsRelayed, bool aIsGrowing) const
@@ -110,6 +112,7 @@
 {
   *mRunning = true;
   mLastContactTime = steady_clock::now();
+  mCompleteAsOf = mLastContactTime;
   ListPage();
 }
 
@@ -131,6 +134,9 @@
 
 void MetadataFollower::ListPage()
 {
+  if (mListProgress.pageToken.empty()) {
+    mMustListAgain = false;
+  }
   mSource.List(mTopic,
                mListProgress.pageToken,
                kListTimeout,
@@ -148,26 +154,71 @@
   }
 }
 
-void MetadataFollower::NoteEra(const MetadataReply& aReply)
+void MetadataFollower::ListAgain()
 {
-  if (!aReply.era || aReply.era == mEra) {
-    return;
+  mListProgress = {};
+  ListPage();
+}
+
+bool MetadataFollower::AcceptsHistory(const MetadataReply& aReply)
+{
+  const auto former = mProcess.metadataHistory.Newest();
+  const auto verdict =
+    mProcess.metadataHistory.OnReply(aReply.era, steady_clock::now());
+  if (verdict != MetadataHistory::Verdict::Current) {
+    mProcess.log.Write(
+      "metadata_era",
+      { { "topic", TopicName(mTopic) },
+        { "era", static_cast<std::int64_t>(*aReply.era) },
+        { "former", static_cast<std::int64_t>(*former) },
+        { "followed_revision", static_cast<std::int64_t>(mRevision) },
+        { "revision", static_cast<std::int64_t>(aReply.revision) },
+        { "list_in_progress", !mListProgress.pageToken.empty() } });
+  }
+  if (verdict == MetadataHistory::Verdict::Former) {
+    MetadataReply failure;
+    failure.errorDetail = "the reply belongs to a former history";
+    OnFailure(failure);
+    mListProgress = {};
+    RunAfter(Jittered(mBackoff, mRandom), &MetadataFollower::ListPage);
+    return false;
+  }
+  if (mMustListAgain) {
+    ListAgain();
+    return false;
+  }
+  return true;
+}
+
+void MetadataFollower::OnNewHistory()
+{
+  mGrowthExpectedUntil = mProcess.metadataHistory.SettledAt();
+  if (mIsRelayed) {
+    return; // the relaying instance lists again
+  }
+  RunAfter(kReregistrationGrace + milliseconds(1),
+           &MetadataFollower::RemoveExpiredServers);
+  mMustListAgain = true;
+  mSource.Cancel(mTopic);
+  RunAfter(kReregistrationGrace + milliseconds(1),
+           &MetadataFollower::ConfirmAfterSettling);
+}
+
+void MetadataFollower::ConfirmAfterSettling()
+{
+  const auto now = steady_clock::now();
+  if (!mIsRelayed && !mProcess.metadataHistory.IsSettling(now)) {
+    mMustListAgain = true;
+    mSource.Cancel(mTopic);
   }
-  mProcess.log.Write(
-    "metadata_era",
-    { { "topic", TopicName(mTopic) },
-      { "era", static_cast<std::int64_t>(*aReply.era) },
-      { "former", mEra ? static_cast<std::int64_t>(*mEra) : -1 },
-      { "followed_revision", static_cast<std::int64_t>(mRevision) },
-      { "revision", static_cast<std::int64_t>(aReply.revision) },
-      { "list_in_progress", !mListProgress.pageToken.empty() } });
-  mEra = aReply.era;
 }
 
 void MetadataFollower::OnListReply(MetadataReply aReply)
 {
   CountServiceCall(aReply);
-  NoteEra(aReply);
+  if (!AcceptsHistory(aReply)) {
+    return;
+  }
   if (aReply.status == MetadataStatus::SourceChanged) {
     mListProgress = {};
     RunAfter(kSourceChangePause, &MetadataFollower::ListPage);
@@ -180,14 +231,20 @@
     return;
   }
   OnContact();
+  mIsRelayed = aReply.relayed;
+  const bool isSettling = IsSettling(steady_clock::now());
   // The pages are not one snapshot, so the watch begins at the revision of the
   // first page.
   if (mListProgress.revision == 0) {
     mListProgress.revision = aReply.revision;
+    mListProgress.beganAt = steady_clock::now();
   }
   for (auto& it : aReply.changes) {
     if (const auto* server = std::get_if<ServerChanged>(&it.change)) {
       mListProgress.servers.insert(server->record.id);
+      if (isSettling && mServers.IsOutdated(server->record)) {
+        continue; // newer entries will be written again
+      }
     } else if (const auto* domain =
                  std::get_if<DomainWithdrawalChanged>(&it.change)) {
       mListProgress.domains.insert(domain->domain);
@@ -211,7 +268,7 @@
         RemoveOrDeferServer(id, "not_listed");
       }
     }
-  } else {
+  } else if (!IsSettling(steady_clock::now())) {
     const auto withdrawn = mServers.WithdrawnDomains();
     for (const auto& domain : withdrawn) {
       if (!list.domains.contains(domain)) {
@@ -220,6 +277,7 @@
     }
   }
   mRevision = list.revision;
+  mCompleteAsOf = list.beganAt;
   if (!mIsSynchronized) {
     // The service may have just recovered from an outage.
     mGrowthExpectedUntil = steady_clock::now() + kReregistrationGrace;
@@ -234,6 +292,10 @@
 
 void MetadataFollower::Watch()
 {
+  if (mMustListAgain) {
+    ListAgain();
+    return;
+  }
   const auto wait = mDisconnected ? kReconnectWatchWait : WatchWait();
   mSource.Watch(mTopic,
                 mRevision,
@@ -249,7 +311,9 @@
 void MetadataFollower::OnWatchReply(MetadataReply aReply)
 {
   CountServiceCall(aReply);
-  NoteEra(aReply);
+  if (!AcceptsHistory(aReply)) {
+    return;
+  }
   switch (aReply.status) {
     case MetadataStatus::HistoryCompacted:
       mProcess.log.Write(
@@ -270,6 +334,8 @@
       break;
   }
   OnContact();
+  mIsRelayed = aReply.relayed;
+  mCompleteAsOf = steady_clock::now();
   const auto formerCount = mServers.size();
   for (auto& it : aReply.changes) {
     Apply(it);
@@ -349,16 +415,26 @@
 void MetadataFollower::RemoveOrDeferServer(const ServerId& aServer,
                                            std::string_view aReason)
 {
-  if (steady_clock::now() < mReregistrationUntil) {
+  if (AwaitsReregistration(steady_clock::now())) {
     mExpiredServers.insert(aServer);
   } else {
     mServers.Remove(aServer, aReason);
   }
 }
 
+bool MetadataFollower::IsSettling(TimePoint aNow) const
+{
+  return !mIsRelayed && mProcess.metadataHistory.IsSettling(aNow);
+}
+
+bool MetadataFollower::AwaitsReregistration(TimePoint aNow) const
+{
+  return aNow < mReregistrationUntil || IsSettling(aNow);
+}
+
 void MetadataFollower::RemoveExpiredServers()
 {
-  if (steady_clock::now() < mReregistrationUntil) {
+  if (AwaitsReregistration(steady_clock::now())) {
     return; // another outage has extended the grace time
   }
   for (const auto& it : std::exchange(mExpiredServers, {})) {
--- /dev/null
+++ b/src/gateway/metadata_history.cpp
@@ -0,0 +1,33 @@
+#include "bronzedeal/gateway/metadata_history.hpp"
+
+#include <utility>
+
+namespace bronzedeal::gateway {
+
+MetadataHistory::Verdict MetadataHistory::OnReply(
+  std::optional<MetadataEra> aEra,
+  TimePoint aNow)
+{
+  if (!aEra || aEra == mNewest) {
+    return Verdict::Current;
+  }
+  if (mNewest && *aEra < *mNewest) {
+    return Verdict::Former;
+  }
+  const bool isFirst = !std::exchange(mNewest, aEra);
+  if (isFirst) {
+    return Verdict::Current;
+  }
+  mSettledAt = aNow + kReregistrationGrace;
+  for (const auto& it : mHandlers) {
+    it();
+  }
+  return Verdict::New;
+}
+
+void MetadataHistory::OnNewHistory(std::function<void()> aHandler)
+{
+  mHandlers.push_back(std::move(aHandler));
+}
+
+} // namespace bronzedeal::gateway
--- a/src/gateway/relay_message.cpp
+++ b/src/gateway/relay_message.cpp
@@ -46,7 +46,8 @@
                       aServer.slots,
                       aServer.draining,
                       aServer.remainingColdTime.count(),
-                      aServer.startedAtMs };
+                      aServer.startedAtMs,
+                      aServer.sequence };
 }
 
 /// Throws when a member is missing or has another type.
@@ -64,6 +65,10 @@
   record.remainingColdTime =
     milliseconds(aFields.at(7).to_number<std::int64_t>());
   record.startedAtMs = aFields.at(8).to_number<std::uint64_t>();
+  // Instances of former versions don't send it.
+  if (const auto* sequence = aFields.if_contains(9)) {
+    record.sequence = sequence->to_number<std::uint64_t>();
+  }
   return record;
 }
 
@@ -133,6 +138,9 @@
                      { "removed", EncodeNames(aReply.removedServers) },
                      { "withdrawn", EncodeNames(aReply.withdrawnDomains) },
                      { "restored", EncodeNames(aReply.restoredDomains) } };
+  if (aReply.era) {
+    root["era"] = *aReply.era;
+  }
   if (aReply.config) {
     root["config"] = EncodeRouteConfig(*aReply.config);
   }
@@ -152,6 +160,9 @@
     reply.removedServers = DecodeNames(root.at("removed"));
     reply.withdrawnDomains = DecodeNames(root.at("withdrawn"));
     reply.restoredDomains = DecodeNames(root.at("restored"));
+    if (const auto* era = root.if_contains("era")) {
+      reply.era = era->to_number<MetadataEra>();
+    }
     if (const auto* config = root.if_contains("config")) {
       reply.config = DecodeRouteConfig(*config);
     }
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -163,6 +163,13 @@
             std::move(aHandler));
 }
 
+void RelayedSource::Cancel(MetadataTopic aTopic)
+{
+  if (IsDirect()) {
+    mService.Cancel(aTopic);
+  }
+}
+
 void RelayedSource::SendQuery(const RelayQuery& aQuery,
                               Duration aTimeout,
                               Handler aHandler)
@@ -225,6 +232,7 @@
   MetadataReply reply;
   reply.status = MetadataStatus::Ok;
   reply.relayed = true;
+  reply.era = aReply.era;
   reply.revision = aReply.sequence;
   const auto add = [&](MetadataChange aChange) {
     reply.changes.push_back({ aReply.sequence, std::move(aChange) });
@@ -262,6 +270,10 @@
       FailCall(aCall, aResponse.result_int() == 200 ? "unreadable" : "refused");
       return;
     }
+    if (decoded->era < mProcess.metadataHistory.Newest() && decoded->era) {
+      FailCall(aCall, "former_history");
+      return;
+    }
     reply = ToReply(std::move(*decoded));
   }
   mProcess.timers.Cancel(aCall->timeout);
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -18,6 +18,8 @@
 constexpr auto kPreconnectInterval = milliseconds(4);
 /// Interval of the check for requests in progress in withdrawn domains.
 constexpr auto kWithdrawnPollInterval = milliseconds(50);
+/// Number of removed servers whose last records are kept.
+constexpr std::size_t kMaxRemovedServers = 2048;
 /// A remaining cold time that grows by more than this means that the server has
 /// become cold again; smaller differences come from the delay of its record.
 constexpr auto kColdTimeTolerance = milliseconds(300);
@@ -105,12 +107,36 @@
   mProcess.metrics.Set(process::Gauge::ServersKnown,
                        static_cast<double>(mById.size()));
   server->Retire();
+  RememberRemoved(server->Record());
   mChanges.RecordRemoval(server->Record().id);
   if (mChangeHandler) {
     mChangeHandler();
   }
 }
 
+void ServerRegistry::RememberRemoved(const ServerRecord& aRecord)
+{
+  if (!mRemoved.insert_or_assign(aRecord.id, aRecord).second) {
+    std::erase(mRemovedOrder, aRecord.id);
+  }
+  mRemovedOrder.push_back(aRecord.id);
+  if (mRemovedOrder.size() > kMaxRemovedServers) {
+    mRemoved.erase(mRemovedOrder.front());
+    mRemovedOrder.pop_front();
+  }
+}
+
+bool ServerRegistry::IsOutdated(const ServerRecord& aRecord) const
+{
+  if (const auto known = mById.find(aRecord.id); known != mById.end()) {
+    return IsOlder(aRecord, known->second->Record());
+  }
+  const auto removed = mRemoved.find(aRecord.id);
+  return removed != mRemoved.end() &&
+         aRecord.startedAtMs <= removed->second.startedAtMs &&
+         aRecord.sequence <= removed->second.sequence;
+}
+
 void ServerRegistry::PreconnectAll()
 {
   for (const auto& [id, server] : mById) {
--- a/tests/gateway/follower_test.cpp
+++ b/tests/gateway/follower_test.cpp
@@ -35,8 +35,18 @@
     SendNextReply(std::move(aHandler));
   }
 
+  void Cancel(MetadataTopic) override
+  {
+    calls.emplace_back("cancel");
+    if (pending) {
+      std::exchange(pending, nullptr)(MetadataReply{});
+    }
+  }
+
   std::deque<MetadataReply> replies;
   std::vector<std::string> calls;
+  /// The handler of the call that waits for an answer.
+  Handler pending;
   std::vector<milliseconds> waits;
   std::vector<Duration> timeouts;
 
@@ -47,6 +57,8 @@
       auto reply = std::move(replies.front());
       replies.pop_front();
       aHandler(std::move(reply));
+    } else {
+      pending = std::move(aHandler);
     }
   }
 };
@@ -73,6 +85,26 @@
   return reply;
 }
 
+MetadataReply EraReply(MetadataEra aEra,
+                       std::uint64_t aRevision,
+                       std::vector<MetadataChange> aChanges = {})
+{
+  auto reply = Reply(aRevision, std::move(aChanges));
+  reply.era = aEra;
+  return reply;
+}
+
+ServerRecord RecordWritten(const std::string& aId,
+                           std::uint64_t aSequence,
+                           bool aDraining)
+{
+  auto record = Record(aId);
+  record.startedAtMs = 1000;
+  record.sequence = aSequence;
+  record.draining = aDraining;
+  return record;
+}
+
 struct FollowerFixture : TestGateway
 {
   FollowerFixture() { process.settings.maxDrainTime = milliseconds(40); }
@@ -161,6 +193,120 @@
   EXPECT_EQ(fixture.servers.ServerIds(), std::vector<ServerId>{ "s-1" });
 }
 
+// Guards against changes that are never read because the service has given out
+// the followed revision again, after it came back from a copy.
+TEST(MetadataFollower, ListsAgainWhenTheServiceHasAnotherHistory)
+{
+  FollowerFixture fixture;
+  fixture.source.replies = {
+    EraReply(1, 50, { ServerChanged{ Record("s-0") } }),
+    EraReply(2, 50),
+    EraReply(2, 51, { ServerChanged{ Record("s-1") } }),
+  };
+  fixture.RunUntilCallCount(4);
+  const auto& calls = fixture.source.calls;
+  EXPECT_EQ(std::count(calls.begin(), calls.end(), "list "), 2);
+  EXPECT_EQ(calls.back(), "watch 51");
+  EXPECT_NE(fixture.servers.Find("s-1"), nullptr);
+}
+
+// Guards against entries that are missed because the pages of one list come
+// from two histories.
+TEST(MetadataFollower, RestartsAListWhenTheNextPageIsOfAnotherHistory)
+{
+  FollowerFixture fixture;
+  auto first = EraReply(1, 50, { ServerChanged{ Record("s-0") } });
+  first.nextPageToken = "s-0";
+  auto second = EraReply(2, 40, { ServerChanged{ Record("s-9") } });
+  fixture.source.replies = {
+    first, second, EraReply(2, 41, { ServerChanged{ Record("s-1") } })
+  };
+  fixture.RunUntilCallCount(5);
+  EXPECT_EQ(fixture.source.calls.back(), "watch 41");
+  EXPECT_EQ(fixture.servers.Find("s-9"), nullptr);
+  EXPECT_NE(fixture.servers.Find("s-1"), nullptr);
+}
+
+// Guards against a topic whose long watch tells only at its end that the
+// history has changed, although another topic knows it already.
+TEST(MetadataFollower, ListsAgainWhenAnotherTopicFindsANewHistory)
+{
+  FollowerFixture fixture;
+  ScriptedSource operatorSource;
+  operatorSource.replies = { EraReply(1, 50), EraReply(1, 50) };
+  MetadataFollower operators(fixture.process,
+                             fixture.gateway,
+                             fixture.servers,
+                             operatorSource,
+                             MetadataTopic::Operators);
+  operators.Start();
+  fixture.RunUntil([&] { return operatorSource.pending != nullptr; });
+  fixture.source.replies = { EraReply(1, 50), EraReply(2, 50) };
+  fixture.RunUntilCallCount(2);
+  fixture.RunUntil([&] { return operatorSource.calls.back() == "list "; });
+  const auto& calls = operatorSource.calls;
+  EXPECT_EQ(std::count(calls.begin(), calls.end(), "cancel"), 1);
+  EXPECT_EQ(calls.back(), "list ");
+}
+
+// Guards against a draining server and a server that has left, both in use
+// again because a copy of the service lists them as they were.
+TEST(MetadataFollower, KeepsWhatIsKnownUntilItIsWrittenAgain)
+{
+  FollowerFixture fixture;
+  fixture.source.replies = {
+    EraReply(1,
+             50,
+             { ServerChanged{ RecordWritten("s-0", 5, true) },
+               ServerChanged{ RecordWritten("s-1", 5, false) },
+               ServerChanged{ RecordWritten("s-2", 5, false) } }),
+    EraReply(1, 51, { ServerRemoved{ "s-1" } }),
+    EraReply(2, 40),
+    EraReply(2,
+             40,
+             { ServerChanged{ RecordWritten("s-0", 3, false) },
+               ServerChanged{ RecordWritten("s-1", 5, false) },
+               ServerChanged{ RecordWritten("s-3", 1, false) } }),
+  };
+  fixture.RunUntilCallCount(6);
+  EXPECT_TRUE(fixture.servers.Find("s-0")->Record().draining);
+  EXPECT_EQ(fixture.servers.Find("s-1"), nullptr);
+  EXPECT_NE(fixture.servers.Find("s-2"), nullptr);
+  EXPECT_NE(fixture.servers.Find("s-3"), nullptr);
+  // Once the entries are written again, the service is right.
+  fixture.source.replies = { EraReply(
+    2,
+    60,
+    { ServerChanged{ RecordWritten("s-0", 6, true) },
+      ServerChanged{ RecordWritten("s-1", 5, false) } }) };
+  fixture.RunUntil([&] { return fixture.servers.size() == 2; });
+  EXPECT_TRUE(fixture.servers.Find("s-0")->Record().draining);
+  EXPECT_NE(fixture.servers.Find("s-1"), nullptr);
+}
+
+// Guards against a withdrawal that ends because a copy of the service lacks it,
+// and against one that outlives its end in the service.
+TEST(MetadataFollower, KeepsWithdrawalsUntilTheyAreWrittenAgain)
+{
+  FollowerFixture fixture;
+  fixture.source.replies = {
+    EraReply(1, 50, { DomainWithdrawalChanged{ "fd-a", true } }),
+    EraReply(2, 40),
+    EraReply(2, 40),
+  };
+  MetadataFollower operators(fixture.process,
+                             fixture.gateway,
+                             fixture.servers,
+                             fixture.source,
+                             MetadataTopic::Operators);
+  operators.Start();
+  fixture.RunUntil([&] { return fixture.source.pending != nullptr; });
+  EXPECT_TRUE(fixture.servers.WithdrawnDomains().contains("fd-a"));
+  fixture.source.replies = { EraReply(2, 60) };
+  fixture.RunUntil([&] { return fixture.servers.WithdrawnDomains().empty(); });
+  EXPECT_TRUE(fixture.servers.WithdrawnDomains().empty());
+}
+
 // Guards against a server that stays in use although another writer has
 // overwritten its entry, and against an effect of that entry on other servers.
 TEST(MetadataFollower, RemovesOnlyTheServerOfAnInvalidEntry)
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -182,8 +182,10 @@
   record.draining = true;
   record.remainingColdTime = milliseconds(1200);
   record.startedAtMs = 1'784'733'522'000;
+  record.sequence = 41;
   RelayReply sent;
   sent.epoch = 7;
+  sent.era = 3;
   sent.sequence = 12;
   sent.servers = { record };
   sent.removedServers = { "i-0" };
@@ -192,10 +194,12 @@
   const auto reply = DecodeRelayReply(EncodeRelayReply(sent));
   ASSERT_TRUE(reply && reply->servers.size() == 1);
   EXPECT_EQ(reply->epoch, 7U);
+  EXPECT_EQ(reply->era, MetadataEra{ 3 });
   EXPECT_EQ(reply->sequence, 12U);
   EXPECT_EQ(reply->removedServers, std::vector<ServerId>{ "i-0" });
   const auto& server = reply->servers.front();
   EXPECT_EQ(server.id, record.id);
+  EXPECT_EQ(server.sequence, 41U);
   EXPECT_EQ(server.group, record.group);
   EXPECT_EQ(server.address, record.address);
   EXPECT_EQ(server.failureDomain, record.failureDomain);
@@ -256,6 +260,7 @@
   };
   EXPECT_TRUE(decoded(R"({"epoch":1,"sequence":2,"servers":[],)"));
   EXPECT_FALSE(decoded(R"({"epoch":1,"sequence":2,"servers":[["i-1"]],)"));
+  EXPECT_FALSE(decoded(R"({"epoch":1,"sequence":2,"era":"x","servers":[],)"));
   EXPECT_FALSE(decoded(R"({"epoch":1,"sequence":2,"servers":[],"config":{},)"));
 }
 
@@ -361,6 +366,25 @@
   EXPECT_EQ(fixture.service.listCount, 1);
 }
 
+// Guards against the states of a former history, which an instance reads from a
+// relay that doesn't know the newest one yet.
+TEST(Relay, LeavesARelayThatHasReadAFormerHistory)
+{
+  RelayFixture fixture;
+  auto& known = fixture.readingInstance.process.metadataHistory;
+  auto& relayed = fixture.relayingInstance.process.metadataHistory;
+  (void)relayed.OnReply(1, steady_clock::now());
+  const auto listed = fixture.List();
+  ASSERT_EQ(listed.status, MetadataStatus::Ok);
+  EXPECT_EQ(listed.era, MetadataEra{ 1 });
+  (void)known.OnReply(1, steady_clock::now());
+  (void)known.OnReply(2, steady_clock::now());
+  EXPECT_EQ(fixture.List().status, MetadataStatus::SourceChanged);
+  fixture.List();
+  EXPECT_TRUE(fixture.source.IsDirect());
+  EXPECT_EQ(fixture.service.listCount, 1);
+}
+
 // Guards against a sequence number of a relay's former run that is applied to
 // its present run.
 TEST(Relay, ListsAgainAfterARestartOfTheRelay)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -149,13 +149,14 @@
             return
         url = urllib.parse.urlparse(call.path)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
-        status, body = 404, {}
+        status, body, era = 404, {}, self.era
         if url.path == "/api/kv-range":
             status, body = self.range(query)
         elif url.path == "/api/kv-watch":
             status, body = self.watch(query)
+            era = self.era  # a watch may have waited
         call.reply(status, {"Content-Type": "application/json",
-                            "Store-Era": str(self.era)},
+                            "Store-Era": str(era)},
                    json.dumps(body).encode())
 
     def range(self, query):
