End requests at once when servers' limits leave them no chance

What callers saw: a request whose needed servers accept nothing before its deadline waited for it, and was then told 504 or to return after 100 ms. Cause: limits of servers were a reason to wait, as an unreachable server is; but when a limit allows the next request is known. Change: a single request and a query end when the limits are the only reason and allow nothing before the deadline; a query may begin up to a fifth of its objective later if enough shards accept it by then.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,6 +4,8 @@
     bench/soak.py --seed 7 --seconds 20      one run
     bench/soak.py --seeds 100-149            many
     bench/soak.py --bite NAME                a fault put in on purpose: must fail
+    bench/soak.py --limits 2 --restores      servers state request limits; the
+                                             store comes back from copies
 
 Connections are delayed, reset, cut one way or silenced by loopback proxies;
 processes are stopped, paused, killed and restarted by signals; the store is
@@ -29,13 +31,19 @@
 DRAIN_SLACK_S = 1.5
 CALLERS = 6
 PAUSE_S = (0.2, 1.5)
+# What a restore has lost is written again within this time.
+WRITE_AGAIN_S = 2.0
 # Part of the calls that is answered once all faults have ended.
 SERVED_AFTER = 0.9
 
 
 class Soak:
-    def __init__(self, seed, seconds, instances, bite):
+    def __init__(self, seed, seconds, instances, bite, limits=0,
+                 restores=False):
         self.random = random.Random(seed)
+        self.store_kinds = ("busy", "silent", "reset", "compact", "cut",
+                            "config") + (("restore", "restore") if restores
+                                         else ())
         self.seconds, self.bite = seconds, bite
         self.folder = tempfile.TemporaryDirectory()
         self.world = standin.World(self.folder.name, instances=instances,
@@ -45,6 +53,9 @@
         self.lock = threading.Lock()
         self.trace = []
         self.disturbed_until = 0.0
+        limiting = random.Random(seed)
+        for it in limiting.sample(self.world.servers, limits):
+            it.request_limit = limiting.choice((0.0, 1.0, 4.0, 10.0))
 
     # Faults: each begins, lasts, and is taken back.
 
@@ -95,8 +106,7 @@
 
     def store_fault(self):
         world = self.world
-        kind = self.random.choice(("busy", "silent", "reset", "compact", "cut",
-                                   "config"))
+        kind = self.random.choice(self.store_kinds)
         if kind == "config":
             world.publish(extra=self.random.randrange(5))
             return "config", lambda: None
@@ -104,6 +114,14 @@
             world.store.compact()
             return "compact", lambda: None
         self.disturbed_until = time.monotonic() + 1e9
+        if kind == "restore":
+            copy = world.store.copy()
+
+            def restore():
+                world.store.restore(copy)
+                time.sleep(self.random.uniform(0, WRITE_AGAIN_S))
+                world.write_again()
+            return "store restore", restore
         if kind == "cut":
             world.store_proxy.mode = "silent"
         else:
@@ -222,6 +240,12 @@
         elif self.bite == "other":
             first, second = [it for it in answers if it["request"] == "read"][:2]
             first["body"], first["headers"] = second["body"], second["headers"]
+        elif self.bite == "limit":
+            it = next(it for it in events if it["kind"] == "run")
+            first = min(it["at"] for it in events) - 60
+            events += [{"kind": "limit", "server": it["server"], "rate": 1.0,
+                        "at": first + n * 1000} for n in range(2)]
+            events += [{**it, "path": it["path"]} for _ in range(20)]
         elif self.bite == "path":
             next(it for it in events if it["kind"] == "run")["path"] += "x"
         elif self.bite == "drain":
@@ -253,6 +277,7 @@
             if self.bite:
                 self.put_in_fault()
             found += standin.violations(world.history) + self.late_sends()
+            found += standin.limit_violations(world.history)
             found += [it for it in self.trace if "outlived" in it]
             statuses = [it["status"] for it in world.history.of("answer")]
             print("  %d answers, %d of them 200, %d faults" % (
@@ -274,10 +299,15 @@
         total = 15 * len(world.instances)
         if served < SERVED_AFTER * total:
             return ["%d of %d served after the faults" % (served, total)]
-        return []
+        newest = world.config["routes"][-1]["prefix"].strip("/")
+        return ["%s doesn't have the newest version in force" % it.name
+                for it in world.instances
+                if newest.startswith("x")
+                and world.call(newest, it).status == 404]
 
 
-BITES = ("twice", "refused", "mixed", "coverage", "other", "path", "drain")
+BITES = ("twice", "refused", "mixed", "coverage", "other", "path", "drain",
+         "limit")
 
 
 def main():
@@ -287,6 +317,10 @@
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument("--bite", choices=BITES)
+    parser.add_argument("--limits", type=int, default=0,
+                        help="number of servers that state request limits")
+    parser.add_argument("--restores", action="store_true",
+                        help="the store comes back from copies")
     options = parser.parse_args()
     seeds = [options.seed if options.seed is not None
              else random.randrange(1 << 30)]
@@ -296,8 +330,8 @@
     failed = 0
     for seed in seeds:
         print("seed %d" % seed, flush=True)
-        found = Soak(seed, options.seconds, options.instances,
-                     options.bite).run()
+        found = Soak(seed, options.seconds, options.instances, options.bite,
+                     options.limits, options.restores).run()
         for it in found[:10]:
             print("  VIOLATION " + it)
         failed += bool(found)
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -21,6 +21,9 @@
 /// reaches the caller in time. Besides the network, this margin covers the
 /// merge, the write and late wake-ups.
 constexpr auto kSoftDeadlineMargin = milliseconds(5);
+/// A query starts at the latest when the objective divided by this has passed;
+/// until then it waits for servers' limits.
+constexpr int kStartObjectiveDivisor = 5;
 /// The final reply is sent this long before the deadline.
 constexpr auto kAnswerMargin = milliseconds(30);
 /// Maximum number of sends of one shard, including those that servers refused.
@@ -90,7 +93,19 @@
 {
   const auto now = steady_clock::now();
   if (CountReachableShards(now) < mRequiredShards) {
-    Refuse("too few shards have a server", "no_servers");
+    const auto wait = TimeUntilEnoughShards(now);
+    if (wait && now + wait->first <
+                  mRequest.caller.receivedAt +
+                    mRequest.route->objective / kStartObjectiveDivisor) {
+      mTimer = Process().timers.Schedule(now + wait->first,
+                                         [self = shared_from_this()] {
+                                           self->mTimer = {};
+                                           self->Start();
+                                         });
+      return;
+    }
+    Refuse("too few shards have a server",
+           wait ? "rate_limited" : "no_servers");
     return;
   }
   if (now >= mRequest.deadline - kAnswerMargin) {
@@ -184,7 +199,8 @@
     }));
 }
 
-Duration FanoutExchange::RefusalDelay(TimePoint aNow)
+std::optional<std::pair<Duration, std::size_t>>
+FanoutExchange::TimeUntilEnoughShards(TimePoint aNow)
 {
   std::vector<std::pair<Duration, std::size_t>> waits;
   for (std::size_t n = 0; n < mShards.size(); ++n) {
@@ -196,13 +212,32 @@
     }
   }
   if (mRequiredShards == 0 || waits.size() < mRequiredShards) {
-    return kRetryAfter;
+    return std::nullopt;
   }
   std::sort(waits.begin(), waits.end());
-  const auto& [wait, shard] = waits[mRequiredShards - 1];
-  return wait == Duration::zero()
-           ? kRetryAfter
-           : mContext.servers.ScheduleReturn(*mShards[shard].group, wait, aNow);
+  const auto& last = waits[mRequiredShards - 1];
+  return last.first > Duration::zero() ? std::optional(last) : std::nullopt;
+}
+
+Duration FanoutExchange::RefusalDelay(TimePoint aNow)
+{
+  const auto it = TimeUntilEnoughShards(aNow);
+  return it ? mContext.servers.ScheduleReturn(
+                *mShards[it->second].group, it->first, aNow)
+            : kRetryAfter;
+}
+
+bool FanoutExchange::LimitsPreventCoverage(TimePoint aNow)
+{
+  const auto prevented =
+    std::count_if(mShards.begin(), mShards.end(), [&](const auto& aIt) {
+      if (aIt.answered || !aIt.attempts.empty()) {
+        return false;
+      }
+      const auto wait = mContext.servers.TimeUntilSend(*aIt.group, aNow);
+      return wait && aNow + *wait >= mRequest.deadline - kAnswerMargin;
+    });
+  return mShards.size() - static_cast<std::size_t>(prevented) < mRequiredShards;
 }
 
 std::vector<WithheldServer> FanoutExchange::WithheldServers(
@@ -453,6 +488,10 @@
     FinishIncomplete("no_attempt_left");
     return;
   }
+  if (LimitsPreventCoverage(now)) {
+    FinishIncomplete("rate_limited");
+    return;
+  }
   ArmTimer(nextStepAt);
 }
 
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -69,11 +69,19 @@
   /// Number of shards with a usable server.
   std::size_t CountReachableShards(TimePoint aNow);
 
-  /// Time after which the caller should return if it is refused now: when the
-  /// limits of servers are the reason, the time until enough shards accept a
-  /// request.
+  /// When the limits of servers are the only reason why too few shards accept a
+  /// request: the time until enough of them do, and the last of these shards.
+  /// Otherwise nothing.
+  [[nodiscard]] std::optional<std::pair<Duration, std::size_t>>
+  TimeUntilEnoughShards(TimePoint aNow);
+
+  /// Time after which the caller should return if it is refused now.
   [[nodiscard]] Duration RefusalDelay(TimePoint aNow);
 
+  /// True if too few shards can still answer, because the limits of the servers
+  /// of the others allow no request before the deadline.
+  [[nodiscard]] bool LimitsPreventCoverage(TimePoint aNow);
+
   /// The servers of this partial query that get no request now because of their
   /// limits.
   [[nodiscard]] std::vector<WithheldServer> WithheldServers(
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -272,7 +272,11 @@
                          mRequest.route->objective / kRefusalObjectiveDivisor -
                          now;
     const auto limitWait = mContext.servers.TimeUntilSend(mGroup, now);
-    if (mReachedServerCount == 0 && limitWait && *limitWait >= maxWait) {
+    const bool isTooLate =
+      limitWait && now + *limitWait >= mRequest.deadline - kAnswerMargin;
+    if (isTooLate ||
+        (mReachedServerCount == 0 && limitWait && *limitWait >= maxWait)) {
+      // No other server may become usable before.
       mRetryAfter = mContext.servers.ScheduleReturn(mGroup, *limitWait, now);
       FinishWithoutAnswer("rate_limited");
       return;
--- a/tests/gateway/rate_limit_test.cpp
+++ b/tests/gateway/rate_limit_test.cpp
@@ -293,6 +293,68 @@
   EXPECT_EQ(server.Requests().size(), 1U);
 }
 
+// Guards against queries that wait for their deadline although the limits of
+// the only servers of a needed shard are known to be used up, and against a
+// refusal that isn't true.
+TEST(FanoutExchange, RefusesAtOnceWhenTheLimitsOfNeededShardsAreUsedUp)
+{
+  TestGateway fixture;
+  ScriptedServer limited(fixture.process.context,
+                         [](auto&) { return LimitedAnswer("0.5"); });
+  ScriptedServer open(fixture.process.context, [](auto&) {
+    return Reaction{ Response(
+      200, "X-Request-Id: r-1\r\nX-Signature: s\r\n", "") };
+  });
+  fixture.AddServer("s-0", "g0", limited.Address());
+  fixture.AddServer("s-1", "g1", open.Address());
+  fixture.Publish({ TestGateway::FanoutRoute({ "g0", "g1" }, 1) });
+  EXPECT_EQ(fixture.Ask("/all/a").status, 200U);
+  const auto start = steady_clock::now();
+  const auto refused = fixture.Ask("/all/a");
+  EXPECT_EQ(refused.status, 503U);
+  EXPECT_LT(steady_clock::now() - start, milliseconds(500));
+  const auto at = refused.headers.find("Retry-After: ");
+  ASSERT_NE(at, std::string::npos);
+  EXPECT_GT(std::stod(refused.headers.substr(at + 13)), 0.5);
+  EXPECT_EQ(open.Requests().size(), 1U);
+}
+
+// Guards against refusing a query that a server accepts a few milliseconds
+// later.
+TEST(FanoutExchange, WaitsBrieflyForTheLimitOfANeededShard)
+{
+  TestGateway fixture;
+  ScriptedServer limited(fixture.process.context,
+                         [](auto&) { return LimitedAnswer("30"); });
+  fixture.AddServer("s-0", "g0", limited.Address());
+  fixture.Publish({ TestGateway::FanoutRoute({ "g0" }, 1) });
+  for (int n = 0; n < 8; ++n) {
+    EXPECT_EQ(fixture.Ask("/all/a").status, 200U);
+  }
+}
+
+// Guards against answers that lack a shard whose limit is used up when the
+// coverage allows it, but come only at the end of the objective.
+TEST(FanoutExchange, LeavesOutAShardWhoseLimitIsUsedUp)
+{
+  TestGateway fixture;
+  ScriptedServer limited(fixture.process.context,
+                         [](auto&) { return LimitedAnswer("0.5"); });
+  ScriptedServer open(fixture.process.context, [](auto&) {
+    return Reaction{ Response(
+      200, "X-Request-Id: r-1\r\nX-Signature: s\r\n", "") };
+  });
+  fixture.AddServer("s-0", "g0", limited.Address());
+  fixture.AddServer("s-1", "g1", open.Address());
+  fixture.Publish({ TestGateway::FanoutRoute({ "g0", "g1" }, 0.5) });
+  EXPECT_EQ(fixture.Ask("/all/a").status, 200U);
+  const auto start = steady_clock::now();
+  const auto reply = fixture.Ask("/all/a");
+  EXPECT_EQ(reply.status, 200U);
+  EXPECT_NE(reply.headers.find("X-Missing-Shards: 1"), std::string::npos);
+  EXPECT_LT(steady_clock::now() - start, milliseconds(200));
+}
+
 // Guards against requests above the limit at one server while another server
 // of the group accepts them.
 TEST(SingleExchange, UsesTheServersThatStateNoLimit)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -249,10 +249,15 @@
         self.sequence += 1
         if state == "draining":
             self.history.add("draining", server=self.id)
+        self.write()
+
+    def write(self):
+        """Writes the server's entry as it is."""
         self.store.put("servers/" + self.id, {
             "service": self.group, "address": self.address(),
-            "zone": self.zone, "version": "v1", "slots": 4, "state": state,
-            "warmup-left-ms": 0, "sequence": self.sequence})
+            "zone": self.zone, "version": "v1", "slots": 4,
+            "state": self.state, "warmup-left-ms": 0,
+            "sequence": self.sequence})
 
     def unregister(self):
         self.history.add("draining", server=self.id)
@@ -549,6 +554,13 @@
                        "header-timeout-ms": 2000, "idle-timeout-ms": 10000}}
         self.republish()
 
+    def write_again(self):
+        """Writes what operators and servers have written, after a restore."""
+        self.republish()
+        for it in self.servers:
+            it.sequence += 1
+            it.write()
+
     def republish(self):
         """Writes the newest configuration again."""
         self.store.put("op/config", self.config)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -16,7 +16,7 @@
 # One seed per number of instances; the others are only run by hand.
 SEEDS_RUN = (2003, 3008)
 INJECTED_VIOLATIONS = ("twice", "refused", "mixed", "coverage", "other", "path",
-                       "drain")
+                       "drain", "limit")
 
 
 def run(*options):
@@ -30,6 +30,13 @@
         result = run("--seed", "1", "--seconds", "8")
         self.assertEqual(0, result.returncode, result.stdout + result.stderr)
 
+    def test_keeps_the_promises_under_limits_and_restores(self):
+        """Guards against limits that are exceeded, and versions that are missed
+        after a restore of the store, under external faults."""
+        result = run("--seed", "1", "--seconds", "12", "--limits", "3",
+                     "--restores")
+        self.assertEqual(0, result.returncode, result.stdout + result.stderr)
+
     def test_keeps_the_promises_on_seeds_that_have_failed(self):
         """Guards against regressions of failures that a soak has found."""
         for seed in SEEDS_RUN:
