--- a/include/bronzedeal/gateway/rate_shares.hpp
+++ b/include/bronzedeal/gateway/rate_shares.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "bronzedeal/types.hpp"
+#include "bronzedeal/gateway/peer_table.hpp"
 
 #include <map>
+#include <vector>
 
 namespace bronzedeal::gateway {
 
@@ -18,6 +19,12 @@
   bool isServing = false;
 };
 
+/// The view of the instance `aSelf`: `aAlive` are all instances that are alive,
+/// `aServing` those of them that callers are sent to.
+[[nodiscard]] FleetView MakeFleetView(const std::vector<PeerState>& aAlive,
+                                      const std::vector<InstanceId>& aServing,
+                                      const InstanceId& aSelf);
+
 /// Divides the request rate that a server accepts among the instances. With the
 /// same view at each instance, the shares for a server add up to 1.
 ///
--- a/src/gateway/fanout_batches.cpp
+++ b/src/gateway/fanout_batches.cpp
@@ -208,24 +208,6 @@
   }
 }
 
-void FanoutExchange::ApplyWithheldServers(const ResponseMessage& aResponse,
-                                          TimePoint aNow)
-{
-  for (const auto& it : DecodeWithheldServers(aResponse)) {
-    if (const auto server = mContext.servers.Find(it.server)) {
-      server->WithholdFor(it.wait, aNow);
-    }
-  }
-}
-
-bool FanoutExchange::IsWithheld(const BatchShard& aShard, TimePoint aNow)
-{
-  return std::any_of(
-    aShard.servers.begin(), aShard.servers.end(), [&](const auto& aIt) {
-      return aIt->TimeUntilSend(aNow) > Duration::zero();
-    });
-}
-
 bool FanoutExchange::RecordMergedAnswer(const Batch& aBatch,
                                         ResponseMessage& aResponse)
 {
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -24,8 +24,6 @@
 /// A query starts at the latest when the objective divided by this has passed;
 /// until then it waits for servers' limits.
 constexpr int kStartObjectiveDivisor = 5;
-/// The final reply is sent this long before the deadline.
-constexpr auto kAnswerMargin = milliseconds(30);
 /// Maximum number of sends of one shard, including those that servers refused.
 constexpr unsigned kMaxSendsPerShard = 6;
 /// An answer with more than this multiple of the records that the merge needs
@@ -33,8 +31,6 @@
 constexpr std::size_t kMaxUnmergedRatio = 4;
 /// Delay before the next try for a shard without a usable server.
 constexpr auto kNoServerRetryDelay = milliseconds(50);
-/// Value of Retry-After in a refusal for another reason than servers' limits.
-constexpr auto kRetryAfter = milliseconds(100);
 
 } // namespace
 
@@ -199,67 +195,6 @@
     }));
 }
 
-std::optional<std::pair<Duration, std::size_t>>
-FanoutExchange::TimeUntilEnoughShards(TimePoint aNow)
-{
-  std::vector<std::pair<Duration, std::size_t>> waits;
-  for (std::size_t n = 0; n < mShards.size(); ++n) {
-    const auto& group = *mShards[n].group;
-    if (mContext.servers.HasUsableServer(group, aNow)) {
-      waits.emplace_back(Duration::zero(), n);
-    } else if (const auto it = mContext.servers.TimeUntilSend(group, aNow)) {
-      waits.emplace_back(*it, n);
-    }
-  }
-  if (mRequiredShards == 0 || waits.size() < mRequiredShards) {
-    return std::nullopt;
-  }
-  std::sort(waits.begin(), waits.end());
-  const auto& last = waits[mRequiredShards - 1];
-  return last.first > Duration::zero() ? std::optional(last) : std::nullopt;
-}
-
-Duration FanoutExchange::RefusalDelay(TimePoint aNow)
-{
-  const auto it = TimeUntilEnoughShards(aNow);
-  return it ? mContext.servers.ScheduleReturn(
-                *mShards[it->second].group, it->first, aNow)
-            : kRetryAfter;
-}
-
-bool FanoutExchange::LimitsPreventCoverage(TimePoint aNow)
-{
-  const auto prevented =
-    std::count_if(mShards.begin(), mShards.end(), [&](const auto& aIt) {
-      if (aIt.answered || !aIt.attempts.empty()) {
-        return false;
-      }
-      const auto wait = mContext.servers.TimeUntilSend(*aIt.group, aNow);
-      return wait && aNow + *wait >= mRequest.deadline - kAnswerMargin;
-    });
-  return mShards.size() - static_cast<std::size_t>(prevented) < mRequiredShards;
-}
-
-std::vector<WithheldServer> FanoutExchange::WithheldServers(
-  TimePoint aNow) const
-{
-  std::vector<WithheldServer> withheld;
-  for (const auto& shard : mShards) {
-    // Allowed servers that have been removed meanwhile are not in the group.
-    for (const auto& it : shard.group->servers) {
-      const bool isAllowed = std::find(shard.allowedServers.begin(),
-                                       shard.allowedServers.end(),
-                                       it.get()) != shard.allowedServers.end();
-      const auto wait =
-        std::chrono::ceil<milliseconds>(it->TimeUntilSend(aNow));
-      if (isAllowed && wait > milliseconds(0)) {
-        withheld.push_back({ it->Record().id, wait });
-      }
-    }
-  }
-  return withheld;
-}
-
 void FanoutExchange::Refuse(std::string_view aReason, std::string_view aCause)
 {
   Process().metrics.Add(process::Counter::QueriesRefused);
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -304,7 +304,8 @@
     if (process.fleetShares.IsServing() && !wasServing) {
       servers.PreconnectAll();
     }
-    UpdateRateShares(serving, now);
+    process.rateShares.Update(MakeFleetView(
+      process.peers.AliveInstances(now), serving, process.settings.instance));
     process.peers.Self().serving = process.fleetShares.IsServing();
     gateway.Peers().Update(process.peers.InstancesWithMetadata(now));
     if (process.fleetShares.Divisor() != previousDivisor) {
@@ -317,22 +318,6 @@
     }
   }
 
-  void UpdateRateShares(const std::vector<InstanceId>& aServing, TimePoint aNow)
-  {
-    FleetView view;
-    const auto alive = process.peers.AliveInstances(aNow);
-    view.aliveCount = static_cast<unsigned>(alive.size());
-    for (const auto& it : alive) {
-      if (std::find(aServing.begin(), aServing.end(), it.instance) !=
-          aServing.end()) {
-        ++view.servingByDomain[it.failureDomain];
-        view.isServing =
-          view.isServing || it.instance == process.settings.instance;
-      }
-    }
-    process.rateShares.Update(std::move(view));
-  }
-
   /// True if no known instance is much stronger than this one.
   [[nodiscard]] bool IsStrongAmongKnown(TimePoint aNow) const
   {
--- a/src/gateway/rate_shares.cpp
+++ b/src/gateway/rate_shares.cpp
@@ -18,6 +18,22 @@
 
 } // namespace
 
+FleetView MakeFleetView(const std::vector<PeerState>& aAlive,
+                        const std::vector<InstanceId>& aServing,
+                        const InstanceId& aSelf)
+{
+  FleetView view;
+  view.aliveCount = static_cast<unsigned>(aAlive.size());
+  for (const auto& it : aAlive) {
+    if (std::find(aServing.begin(), aServing.end(), it.instance) !=
+        aServing.end()) {
+      ++view.servingByDomain[it.failureDomain];
+      view.isServing = view.isServing || it.instance == aSelf;
+    }
+  }
+  return view;
+}
+
 RateShares::RateShares(FailureDomain aDomain)
   : mDomain(std::move(aDomain))
 {
