Keep the limit of a server that refuses a request

Cause: an answer without a statement ended the limit, also the refusal of a full server, which may come before the server looks at its limit; until the next statement any number of requests could follow. Change: only an answer to a request that ran ends the limit. Measured: BackendServer.KeepsTheLimitOfAServerThatRefuses fails before and passes now.

--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -516,7 +516,11 @@
   const auto& name = mProcess.settings.headerNames.rateLimit;
   const auto former = mRateLimit.RequestsPerSecond();
   if (const auto it = aResponse.find(name); it == aResponse.end()) {
-    mRateLimit.OnNotStated(aSentAt);
+    // A refusal may come before the server looks at its limit.
+    if (aResponse.find(mProcess.settings.headerNames.notRun) ==
+        aResponse.end()) {
+      mRateLimit.OnNotStated(aSentAt);
+    }
   } else if (const auto rate = ParseRequestRate(it->value())) {
     mRateLimit.OnStated(
       *rate, RateShare(), mProcess.fleetShares.PhaseFor(mRecord.id), aNow);
--- a/tests/gateway/rate_limit_test.cpp
+++ b/tests/gateway/rate_limit_test.cpp
@@ -318,6 +318,33 @@
   EXPECT_TRUE(backend->IsAvailable(steady_clock::now()));
 }
 
+// Guards against a limit that ends because the server, being full, refuses a
+// request before it states its limit.
+TEST(BackendServer, KeepsTheLimitOfAServerThatRefuses)
+{
+  TestGateway fixture;
+  unsigned count = 0;
+  ScriptedServer server(fixture.process.context, [&](auto&) {
+    return count++ == 0 ? LimitedAnswer("1000")
+                        : Reaction{ Response(503, "X-Not-Run: 1\r\n", "") };
+  });
+  fixture.AddServer("s-0", "g0", server.Address());
+  const auto backend = fixture.servers.Find("s-0");
+  auto request = std::make_shared<ServerRequest>();
+  request->head = "GET /a HTTP/1.1\r\nHost: shop.example\r\n";
+  request->requestId = "r-1";
+  request->deadline = steady_clock::now() + std::chrono::seconds(5);
+  for (unsigned n = 1; n <= 2; ++n) {
+    unsigned finished = 0;
+    backend->Send(request, [&](auto, auto, auto*) { ++finished; });
+    fixture.RunUntil([&] { return finished == 1; });
+    const auto later = steady_clock::now() + milliseconds(5);
+    fixture.RunUntil([&] { return steady_clock::now() >= later; });
+  }
+  EXPECT_EQ(server.Requests().size(), 2U);
+  EXPECT_TRUE(backend->AllowedRate().has_value());
+}
+
 // Guards against a caller that waits for its deadline although the limits of
 // all servers are known to be used up, against a wrong time to return, and
 // against a refused request that runs nevertheless.
