Follow the metadata service when its era falls

Cause: an era below the known one counted as a reply of a former history, whoever replied; had the service counted anew, an instance would have accepted nothing from it until its restart. Change: only a relayed reply can be behind; the service itself is always right. A reply to a call that was made before a new history was known is dropped before its era is looked at, so that topics can't undo each other.

--- a/include/bronzedeal/gateway/metadata_history.hpp
+++ b/include/bronzedeal/gateway/metadata_history.hpp
@@ -19,20 +19,22 @@
   {
     /// The reply belongs to the newest history, or doesn't tell.
     Current,
-    /// The reply is the first of a newer history.
+    /// The reply is the first of another history.
     New,
-    /// The reply belongs to a former history.
+    /// The reply comes from an instance that follows a former history.
     Former,
   };
 
-  /// Applies the era of a reply. Calls the handlers when a new history begins.
-  Verdict OnReply(std::optional<MetadataEra> aEra, TimePoint aNow);
+  /// Applies the era of a reply. The service itself is always right;
+  /// `aIsRelayed` tells that another instance has replied, which may be behind.
+  /// Calls the handlers when a new history begins.
+  Verdict OnReply(std::optional<MetadataEra> aEra,
+                  bool aIsRelayed,
+                  TimePoint aNow);
 
-  /// The newest era known; absent until a reply has told one.
-  [[nodiscard]] std::optional<MetadataEra> Newest() const noexcept
-  {
-    return mNewest;
-  }
+  /// The era of the history that is followed; absent until a reply has told
+  /// one.
+  [[nodiscard]] std::optional<MetadataEra> Era() const noexcept { return mEra; }
 
   /// True while entries that the service has lost may still be written again.
   [[nodiscard]] bool IsSettling(TimePoint aNow) const noexcept
@@ -47,7 +49,7 @@
   void OnNewHistory(std::function<void()> aHandler);
 
 private:
-  std::optional<MetadataEra> mNewest;
+  std::optional<MetadataEra> mEra;
   TimePoint mSettledAt{};
   std::vector<std::function<void()>> mHandlers;
 };
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -162,9 +162,14 @@
 
 bool MetadataFollower::AcceptsHistory(const MetadataReply& aReply)
 {
-  const auto former = mProcess.metadataHistory.Newest();
-  const auto verdict =
-    mProcess.metadataHistory.OnReply(aReply.era, steady_clock::now());
+  if (mMustListAgain) {
+    // The call was made before the new history was known.
+    ListAgain();
+    return false;
+  }
+  const auto former = mProcess.metadataHistory.Era();
+  const auto verdict = mProcess.metadataHistory.OnReply(
+    aReply.era, aReply.relayed, steady_clock::now());
   if (verdict != MetadataHistory::Verdict::Current) {
     mProcess.log.Write(
       "metadata_era",
--- a/src/gateway/metadata_relay.cpp
+++ b/src/gateway/metadata_relay.cpp
@@ -147,7 +147,7 @@
   }
   RelayReply reply;
   reply.epoch = mProcess.peers.Self().incarnation;
-  reply.era = mProcess.metadataHistory.Newest();
+  reply.era = mProcess.metadataHistory.Era();
   reply.sequence = CurrentSequence(aQuery.topic);
   if (aQuery.epoch != 0 &&
       (aQuery.epoch != reply.epoch || aQuery.afterSequence > reply.sequence)) {
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -270,7 +270,8 @@
       FailCall(aCall, aResponse.result_int() == 200 ? "unreadable" : "refused");
       return;
     }
-    if (decoded->era < mProcess.metadataHistory.Newest() && decoded->era) {
+    const auto era = mProcess.metadataHistory.Era();
+    if (decoded->era && era && *decoded->era < *era) {
       FailCall(aCall, "former_history");
       return;
     }
