--- a/review/common/world.py
+++ b/review/common/world.py
@@ -87,15 +87,20 @@
 
 
 class Store:
-    """The metadata store. `page_items` is the size of the pages of lists."""
+    """The metadata store.
+
+    A page of a list ends with `page_items` items or `PAGE_BYTES` of values.
+    """
 
     MAX_EVENTS = 500
+    PAGE_BYTES = 1_000_000
 
     def __init__(self, ip, page_items=50):
         self.ip, self.page_items = ip, page_items
         self.items, self.log, self.revision = {}, [], 1
         self.changed = asyncio.Condition()
         self.address = None
+        self.lists = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
@@ -146,10 +151,16 @@
             writer.close()
 
     def range(self, query):
+        self.lists += 1
         keys = sorted(it for it in self.items
                       if it.startswith(query.get("prefix", ""))
                       and it > query.get("after", ""))
-        page = keys[:self.page_items]
+        page, size = [], 0
+        for it in keys:
+            if len(page) == self.page_items or size >= self.PAGE_BYTES:
+                break
+            page.append(it)
+            size += len(self.items[it]["value"]) * 3 // 4
         return 200, {"items": [self.items[it] for it in page],
                      "has-more": len(keys) > len(page),
                      "store-revision": self.revision}
