--- a/review/common/world.py
+++ b/review/common/world.py
@@ -456,10 +456,10 @@
             async with asyncio.timeout(budget_ms / 1000):
                 start, headers, out = await read_message(self.reader)
                 status = int(start.split()[1])
+        except TimeoutError:  # Before OSError, of which it is a subclass.
+            status, headers, out = None, {}, b""
         except (OSError, asyncio.IncompleteReadError):
             status, headers, out = 0, {}, b""
-        except TimeoutError:
-            status, headers, out = None, {}, b""
         record.add("answer", id=ident, status=status, body=digest(out),
                    stamp=headers.get("server-stamp"))
         if not status or headers.get("connection", "").lower() == "close":
