--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,6 @@
-"""The operator raises `max-body-bytes`.
+"""A request crashes each server that begins to run it, and comes again.
 
-Callers keep their connections while the new configuration is written. Later
-than `config-apply-ms` after its ack they send requests whose body only the new
-configuration allows.
+The other callers of the service send at-most-once requests.
 """
 
 import asyncio
@@ -12,53 +10,72 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 import world as w
 
-FORMER_LIMIT, NEW_LIMIT = 65536, 262144
-CALLERS = 30
-APPLY_S = w.BOUNDS["config-apply-ms"] / 1000
+LENGTH_S = 40
+CRASHING = "/peek/4711"
+#: The caller sends it again at this interval, at any gateway.
+AGAIN_S = 2.0
+BUDGET_MS = 2000
+CALLERS = 12
+CONTACT_S = w.BOUNDS["contact-ms"] / 1000
+ALLOWED_RETRIES = 3
 
 
 async def case(world):
-    await world.add_service("order-book", 2, 96, slots=6, queue=24,
-                            work_s=0.02)
-    world.add_route("hold", "order-book", kind="unsafe")
-    world.limits["max-body-bytes"] = FORMER_LIMIT
+    await world.add_service("order-book", 8, 96, slots=6, queue=24,
+                            work_s=0.12)
+    for it in world.servers:
+        it.crashes_on = lambda method, path: w.TROUBLE and path == CRASHING
+    world.add_route("peek", "order-book", kind="safe", timeout_ms=8000)
+    world.add_route("hold", "order-book", kind="unsafe", timeout_ms=8000)
     await world.publish()
     await world.start_gateways()
-    await asyncio.sleep(5)
+    await asyncio.sleep(5)  # contact-ms after the start
     addresses = await world.directory()
-    callers = [w.Caller(world, addresses[n % len(addresses)])
-               for n in range(CALLERS)]
+    ends = asyncio.get_running_loop().time() + LENGTH_S
 
-    async def send(caller, size):
-        await caller.send("/hold/1", "POST", b"x" * size)
+    async def send_again():
+        n = 0
+        while asyncio.get_running_loop().time() < ends:
+            caller = w.Caller(world, addresses[n % len(addresses)])
+            await caller.send(CRASHING, "GET", budget_ms=BUDGET_MS)
+            caller.close()
+            n += 1
+            await asyncio.sleep(AGAIN_S)
 
-    # Two rounds: the second one on connections that are kept.
-    for _ in range(2):
-        await asyncio.gather(*(send(it, 1000) for it in callers))
-    if w.TROUBLE:
-        world.limits["max-body-bytes"] = NEW_LIMIT
-        await world.publish()
-    await asyncio.sleep(APPLY_S + 1)
-    # The new version is in force: a request on a connection of its own.
-    for address in addresses:
-        probe = w.Caller(world, address)
-        await send(probe, 1000)
-        probe.close()
-    size = NEW_LIMIT // 2 if w.TROUBLE else FORMER_LIMIT // 2
-    await asyncio.gather(*(send(it, size) for it in callers))
+    async def call(n):
+        caller = w.Caller(world, addresses[n % len(addresses)])
+        while asyncio.get_running_loop().time() < ends:
+            await caller.send("/hold/%d" % n, "POST", b"bale %d" % n)
+            await asyncio.sleep(0.1)
+        caller.close()
+
+    await asyncio.gather(send_again(), *(call(n) for n in range(CALLERS)))
     return judge(world)
 
 
 def judge(world):
-    answers = world.record.of("answer")
-    denied = [it for it in answers if it["status"] in (400, 401, 403, 404, 413,
-                                                       431)]
-    allowed = 5 + len(answers) / 500
-    if len(denied) <= allowed:
+    crashes = world.record.of("crash")
+    if len(crashes) < 3:
+        return []
+    since = crashes[2]["t"] + CONTACT_S
+    former, retries = set(), []
+    for it in world.record.of("run"):
+        if it["path"] == CRASHING:
+            if it["id"] in former and it["t"] > since:
+                retries.append(it)
+            former.add(it["id"])
+    crashing = {it["id"] for it in world.record.of("sent")
+                if it["path"] == CRASHING}
+    lost = [it for it in world.record.of("answer") if it["status"] == 502
+            and it["t"] > since and it["id"] not in crashing]
+    if len(retries) <= ALLOWED_RETRIES:
         return []
-    return ["DENIED: %d of %d requests were ended with %s, %.1f may be" %
-            (len(denied), len(answers),
-             sorted({it["status"] for it in denied}), allowed)]
+    return ["BUDGET: %s had crashed three servers at %.2f s, and later than "
+            "%.0f s after that has reached servers in %d retries of gateways; "
+            "%d servers have crashed in all" %
+            (CRASHING, crashes[2]["t"], CONTACT_S, len(retries), len(crashes)),
+            "of the other callers' requests, %d were cut meanwhile by the "
+            "crashes and got 502" % len(lost)]
 
 
 w.main(case, gateways=3)
