Log each change of what may be sent for a content

Callers saw a content run on after its third crash. The logs couldn't tell a verdict that an answer had taken back from one that never came: only the ends of servers were logged, and only where they were seen. content_verdict lines name the former and the new verdict and the cause. No decision changes.

--- a/include/bronzedeal/gateway/crash_quarantine.hpp
+++ b/include/bronzedeal/gateway/crash_quarantine.hpp
@@ -5,6 +5,7 @@
 #include "bronzedeal/types.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +26,34 @@
   Quarantined,
 };
 
+[[nodiscard]] std::string_view Name(ContentVerdict aVerdict) noexcept;
+
+/// Why a verdict has changed.
+enum class VerdictCause
+{
+  /// A server ended during a run of the content.
+  ServerEnded,
+  /// A run had no answer; whether its server has ended isn't known yet.
+  Unanswered,
+  /// A server answered.
+  Answered,
+  /// Another instance has told of one of these.
+  Told,
+};
+
+[[nodiscard]] std::string_view Name(VerdictCause aCause) noexcept;
+
+/// A change of a verdict. The end of a verdict by time is not reported.
+struct VerdictChange
+{
+  ContentId content{};
+  ContentVerdict former = ContentVerdict::Free;
+  ContentVerdict verdict = ContentVerdict::Free;
+  VerdictCause cause = VerdictCause::ServerEnded;
+  /// Servers that ended one after the other.
+  std::size_t crashes = 0;
+};
+
 /// A run of a content that was still in progress when its server ended.
 struct CrashedRun
 {
@@ -93,7 +122,11 @@
     std::size_t maxWeakNotices = 4;
   };
 
-  CrashQuarantine(InstanceId aInstance, const Options& aOptions);
+  using ChangeHandler = std::function<void(const VerdictChange&)>;
+
+  CrashQuarantine(InstanceId aInstance,
+                  const Options& aOptions,
+                  ChangeHandler aOnChange = {});
 
   [[nodiscard]] ContentVerdict VerdictOf(const ContentId& aContent,
                                          TimePoint aNow) const;
@@ -171,15 +204,22 @@
   [[nodiscard]] Duration HoldOf(const ContentId& aContent) const;
   [[nodiscard]] bool IsOutdated(const Table::value_type& aEntry,
                                 TimePoint aNow) const;
+  /// Applies a change to the entry of a content and reports a new verdict.
+  template<typename Change>
+  void Apply(Table::value_type& aEntry,
+             VerdictCause aCause,
+             TimePoint aNow,
+             const Change& aChange);
   void AddRun(Entry& aEntry, const CrashedRun& aRun, TimePoint aNow);
   static void AddAnswer(Entry& aEntry, TimePoint aAnsweredAt, TimePoint aNow);
-  Entry& FindOrCreate(const ContentId& aContent, TimePoint aNow);
+  Table::value_type& FindOrCreate(const ContentId& aContent, TimePoint aNow);
   void MakeRoom(TimePoint aNow);
   [[nodiscard]] static CrashNotice MakeNotice(const Table::value_type& aEntry,
                                               TimePoint aNow);
 
   InstanceId mInstance;
   Options mOptions;
+  ChangeHandler mOnChange;
   Table mContents;
   bool mHasGraver = false;
 };
--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -36,6 +36,9 @@
   FleetShares fleetShares;
   RateShares rateShares;
   MetadataHistory metadataHistory;
+
+private:
+  void LogVerdict(const VerdictChange& aChange);
 };
 
 /// A duration in fractional milliseconds, for logs and costs.
--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "bronzedeal/gateway/crash_quarantine.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -27,6 +28,16 @@
 constexpr std::size_t kNoticeHeadCount = 2;
 constexpr std::size_t kRunFieldCount = 3;
 
+/// In the order of `ContentVerdict`.
+constexpr std::array<std::string_view, 3> kVerdictNames{ "free",
+                                                         "suspect",
+                                                         "quarantined" };
+/// In the order of `VerdictCause`.
+constexpr std::array<std::string_view, 4> kCauseNames{ "server_ended",
+                                                       "unanswered",
+                                                       "answered",
+                                                       "told" };
+
 /// Rounding all times alike keeps their order: a run that follows another one
 /// at once must not overlap it.
 microseconds AgeAt(TimePoint aWhen, TimePoint aNow)
@@ -79,10 +90,38 @@
 
 } // namespace
 
-CrashQuarantine::CrashQuarantine(InstanceId aInstance, const Options& aOptions)
+std::string_view Name(ContentVerdict aVerdict) noexcept
+{
+  return kVerdictNames.at(static_cast<std::size_t>(aVerdict));
+}
+
+std::string_view Name(VerdictCause aCause) noexcept
+{
+  return kCauseNames.at(static_cast<std::size_t>(aCause));
+}
+
+CrashQuarantine::CrashQuarantine(InstanceId aInstance,
+                                 const Options& aOptions,
+                                 ChangeHandler aOnChange)
   : mInstance(std::move(aInstance))
   , mOptions(aOptions)
+  , mOnChange(std::move(aOnChange))
+{
+}
+
+template<typename Change>
+void CrashQuarantine::Apply(Table::value_type& aEntry,
+                            VerdictCause aCause,
+                            TimePoint aNow,
+                            const Change& aChange)
 {
+  const auto former = VerdictOf(aEntry, aNow);
+  aChange(aEntry.second);
+  const auto verdict = VerdictOf(aEntry, aNow);
+  if (verdict != former && mOnChange) {
+    mOnChange(
+      { aEntry.first, former, verdict, aCause, aEntry.second.runs.size() });
+  }
 }
 
 std::size_t CrashQuarantine::ContentHash::operator()(
@@ -166,9 +205,11 @@
                                         const CrashedRun& aRun,
                                         TimePoint aNow)
 {
-  auto& entry = FindOrCreate(aContent, aNow);
-  AddRun(entry, aRun, aNow);
-  return static_cast<unsigned>(entry.runs.size());
+  auto& row = FindOrCreate(aContent, aNow);
+  Apply(row, VerdictCause::ServerEnded, aNow, [&](Entry& aEntry) {
+    AddRun(aEntry, aRun, aNow);
+  });
+  return static_cast<unsigned>(row.second.runs.size());
 }
 
 void CrashQuarantine::AddRun(Entry& aEntry,
@@ -216,25 +257,32 @@
                             TimePoint aSentAt,
                             TimePoint aCutAt)
 {
-  auto& entry = FindOrCreate(aContent, aCutAt);
-  if (entry.cutCount == 0 || aSentAt >= entry.lastCutAt) {
-    ++entry.cutCount;
-  }
-  entry.lastCutAt = std::max(entry.lastCutAt, aCutAt);
-  if (entry.cutCount >= mOptions.suspectCrashes) {
-    entry.unansweredUntil = aCutAt + mOptions.verdictTime;
-  }
+  auto& row = FindOrCreate(aContent, aCutAt);
+  Apply(row, VerdictCause::Unanswered, aCutAt, [&](Entry& aEntry) {
+    if (aEntry.cutCount == 0 || aSentAt >= aEntry.lastCutAt) {
+      ++aEntry.cutCount;
+    }
+    aEntry.lastCutAt = std::max(aEntry.lastCutAt, aCutAt);
+    if (aEntry.cutCount >= mOptions.suspectCrashes) {
+      aEntry.unansweredUntil = aCutAt + mOptions.verdictTime;
+    }
+  });
 }
 
 void CrashQuarantine::OnUnanswered(const ContentId& aContent, TimePoint aNow)
 {
-  FindOrCreate(aContent, aNow).unansweredUntil = aNow + mOptions.verdictTime;
+  auto& row = FindOrCreate(aContent, aNow);
+  Apply(row, VerdictCause::Unanswered, aNow, [&](Entry& aEntry) {
+    aEntry.unansweredUntil = aNow + mOptions.verdictTime;
+  });
 }
 
 void CrashQuarantine::OnAnswered(const ContentId& aContent, TimePoint aNow)
 {
   if (const auto it = mContents.find(aContent); it != mContents.end()) {
-    AddAnswer(it->second, aNow, aNow);
+    Apply(*it, VerdictCause::Answered, aNow, [&](Entry& aEntry) {
+      AddAnswer(aEntry, aNow, aNow);
+    });
   }
 }
 
@@ -260,26 +308,30 @@
                             TimePoint aNow)
 {
   for (const auto& notice : aNotices) {
-    auto& entry = FindOrCreate(notice.content, aNow);
-    if (notice.answeredAge) {
-      AddAnswer(entry, aNow - *notice.answeredAge, aNow);
-    }
-    for (const auto& it : notice.runs) {
-      AddRun(entry, { it.server, aNow - it.sentAge, aNow - it.endedAge }, aNow);
-    }
+    auto& row = FindOrCreate(notice.content, aNow);
+    Apply(row, VerdictCause::Told, aNow, [&](Entry& aEntry) {
+      if (notice.answeredAge) {
+        AddAnswer(aEntry, aNow - *notice.answeredAge, aNow);
+      }
+      for (const auto& it : notice.runs) {
+        AddRun(
+          aEntry, { it.server, aNow - it.sentAge, aNow - it.endedAge }, aNow);
+      }
+    });
   }
 }
 
-CrashQuarantine::Entry& CrashQuarantine::FindOrCreate(const ContentId& aContent,
-                                                      TimePoint aNow)
+CrashQuarantine::Table::value_type& CrashQuarantine::FindOrCreate(
+  const ContentId& aContent,
+  TimePoint aNow)
 {
   if (const auto it = mContents.find(aContent); it != mContents.end()) {
-    return it->second;
+    return *it;
   }
   if (mContents.size() >= mOptions.maxContents) {
     MakeRoom(aNow);
   }
-  return mContents[aContent];
+  return *mContents.try_emplace(aContent).first;
 }
 
 void CrashQuarantine::MakeRoom(TimePoint aNow)
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -27,7 +27,10 @@
 
 Process::Process(Settings aSettings, DecisionLog::Sink aSink)
   : responseMemory(aSettings.memoryBytes / kResponseMemoryDivisor)
-  , crashQuarantine(aSettings.instance, CrashQuarantine::Options{})
+  , crashQuarantine(
+      aSettings.instance,
+      CrashQuarantine::Options{},
+      [this](const VerdictChange& aChange) { LogVerdict(aChange); })
   , settings(std::move(aSettings))
   , log(settings.instance, std::move(aSink))
   , peers(InitialSelfState(settings), PeerTable::Options{})
@@ -36,4 +39,14 @@
 {
 }
 
+void Process::LogVerdict(const VerdictChange& aChange)
+{
+  log.Write("content_verdict",
+            { { "content", ToHex(aChange.content) },
+              { "former", Name(aChange.former) },
+              { "verdict", Name(aChange.verdict) },
+              { "cause", Name(aChange.cause) },
+              { "crashes", static_cast<std::int64_t>(aChange.crashes) } });
+}
+
 } // namespace bronzedeal::gateway
