--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -208,6 +208,8 @@
     Times are in seconds: `work_s` is the time that each request takes, and
     answers are held back until `pause_until`. `fail_share` of the answers have
     status 500; `lose_share` of them are replaced by closing the connection.
+    `unrun_share` of the requests get the status `unrun_status` without a run,
+    and without a statement that they haven't run.
     With `endless`, the named part of each answer never ends. With
     `copy_after_s`, a second copy of each answer follows on the same connection.
     Answers state `request_limit`, the requests per second that the server
@@ -228,6 +230,8 @@
         self.pause_until = 0.0
         self.fail_share = 0.0
         self.lose_share = 0.0
+        self.unrun_share = 0.0
+        self.unrun_status = 500
         self.endless = None
         self.copy_after_s = None
         self.request_limit = None
@@ -336,7 +340,7 @@
         if call.headers.get("Expected-Instance") not in (None, self.id):
             call.reply(421, {"Instance-Id": self.id, "Request-Id": ident}, b"")
             return
-        self.history.add("arrival", server=self.id, id=ident)
+        self.history.add("arrival", server=self.id, id=ident, path=call.path)
         announced = {"Server-Leaving": "1"} if self.leaving else {}
         if self.leaving and self.leaving_status == 503 or (
                 self.retry_after_s is not None):
@@ -349,6 +353,9 @@
             call.reply(503, {"Request-Id": ident, "Not-Executed": "1",
                              **announced}, b"")
             return
+        if self.random.random() < self.unrun_share:
+            call.reply(self.unrun_status, {"Request-Id": ident}, b"")
+            return
         self.history.add("run", server=self.id, group=self.group, id=ident,
                          method=call.command, path=call.path, body=sent)
         if call.path in self.crashing_paths:
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -6,100 +6,15 @@
 import time
 import unittest
 
-import standin
+from crashing_test_case import LENGTH_S, CrashingTestCase
 from world_test_case import WorldTestCase
 
-# `contact-ms` of the users' platform: within this time after the third crash,
-# all instances must have stopped sending the content.
-CONTACT_S = 4.0
-CRASHES = 3
-ALLOWED_SENDS = 3
-LENGTH_S = 14.0
-PAUSE_S = 0.25
-INNOCENT_CALLERS = 6
 # The store drops the entry of a silent server after three heartbeats of 1.2 s,
 # the first of which may be up to one old, and tells this up to 0.8 s later.
 LAPSE_S = 5.4
 
 
-class CrashingRequestTest(WorldTestCase):
-    instances = 3
-    ledger_servers = 8
-
-    def call_for(self, seconds, kind, targets):
-        """Sends each target in turn at each instance; returns the answers."""
-        answers, end = [], time.monotonic() + seconds
-
-        def call(number):
-            while time.monotonic() < end:
-                for n, target in enumerate(targets):
-                    instance = self.world.instances[
-                        (n + number) % self.instances]
-                    begun = time.monotonic()
-                    answer = self.world.call(kind, instance, target=target)
-                    answers.append((target, answer, time.monotonic() - begun))
-                    time.sleep(PAUSE_S)
-
-        callers = [threading.Thread(target=call, args=(n,))
-                   for n in range(self.instances)]
-        for it in callers:
-            it.start()
-        for it in callers:
-            it.join()
-        return answers
-
-    def assert_no_longer_sent(self, target):
-        """At most three sends after the content has crashed three servers."""
-        crashes = self.world.history.of("crash")
-        self.assertGreaterEqual(len(crashes), CRASHES)
-        since = crashes[CRASHES - 1]["at"] + CONTACT_S
-        late = [it for it in self.world.history.of("run")
-                if it["path"] == target and it["at"] > since]
-        self.assertLessEqual(len(late), ALLOWED_SENDS, len(crashes))
-
-    def assert_no_longer_retried(self, target):
-        """At most three sends beyond the first of a request after that."""
-        crashes = self.world.history.of("crash")
-        self.assertGreaterEqual(len(crashes), CRASHES)
-        since = crashes[CRASHES - 1]["at"] + CONTACT_S
-        known, retries = set(), []
-        for it in self.world.history.of("run"):
-            if it["path"] == target:
-                if it["id"] in known and it["at"] > since:
-                    retries.append(it)
-                known.add(it["id"])
-        self.assertLessEqual(len(retries), ALLOWED_SENDS, len(crashes))
-
-    def assert_refused_at_once(self, answers):
-        """The last answers promise that the request has not run."""
-        for _, answer, took_s in answers[-3 * self.instances:]:
-            self.assertEqual(503, answer.status)
-            self.assertGreater(float(answer.headers["Retry-After"]), 0)
-            self.assertLess(took_s, 1)
-
-    def crash_on(self, target, groups, after_s=0.0):
-        for it in self.world.servers:
-            if it.group in groups:
-                it.crashing_paths = {target}
-                it.crash_after_s = after_s
-
-    def play(self, kind, target, groups, after_s=0.0):
-        """Sends a crashing content and, beside it, innocent ones."""
-        self.crash_on(target, groups, after_s)
-        innocent = []
-        targets = ["/write/innocent-%d" % n for n in range(INNOCENT_CALLERS)]
-        beside = threading.Thread(target=lambda: innocent.extend(
-            self.call_for(LENGTH_S, "write", targets)))
-        beside.start()
-        answers = self.call_for(LENGTH_S, kind, [target])
-        beside.join()
-        self.assert_no_longer_sent(target)
-        self.assert_refused_at_once(answers)
-        self.assertEqual([200] * INNOCENT_CALLERS,
-                         [it.status for _, it, _ in
-                          innocent[-INNOCENT_CALLERS:]])
-        self.assert_no_violations()
-
+class CrashingRequestTest(CrashingTestCase):
     def test_stops_sending_an_idempotent_request_that_crashes_servers(self):
         """Guards against a request that ends one server after the other."""
         self.play("read", "/read/crashing", ["ledger"])
@@ -139,15 +54,12 @@
         self.play_query()
 
     def play_alone(self, down_s, silently):
-        """Sends a crashing content while nothing else shows what has ended.
-
-        Until the store tells, a content may be sent once by each caller.
-        """
+        """Sends a crashing content while nothing else shows what has ended."""
         for it in self.world.servers:
             it.down_s, it.lapse_s, it.ends_silently = down_s, LAPSE_S, silently
         self.crash_on("/read/crashing", ["ledger"])
         answers = self.call_for(2 * LENGTH_S, "read", ["/read/crashing"])
-        self.assert_no_longer_retried("/read/crashing")
+        self.assert_no_longer_sent("/read/crashing")
         self.assert_refused_at_once(answers)
         self.assert_no_violations()
 
