Clear a content only when an answer proves that a server has run it

Callers, and all others on the same servers, saw a content end one server after the other for ever while some servers failed requests: each error took the verdict back, a quarantine too.

Cause: CrashQuarantine::OnAnswered was called for every answer to a request. A server may answer 500, or with unsigned bytes, before it begins to run a request, so such an answer says nothing about the content. The same in a hand-over, where any status but 502, 503 and 504 counted, an instance's own 404 too, and in CutRuns, where an error of the server that has taken over an address proved that the former one hadn't ended. A request that ended with an error of one server also forgot that another one had broken off.

Change: ProvesRun. Only a signed answer that is no failure, or a query answer without missing shards, clears.

--- a/include/bronzedeal/gateway/http_message.hpp
+++ b/include/bronzedeal/gateway/http_message.hpp
@@ -64,4 +64,10 @@
                                     bool aCloseConnection,
                                     bool aIsHeadRequest);
 
+/// True if a response proves that a server, or for a query one server of each
+/// shard, has run the request. Errors don't: a server may fail requests that it
+/// hasn't begun to run.
+[[nodiscard]] bool ProvesRun(const ResponseMessage& aResponse,
+                             const HeaderNames& aNames);
+
 } // namespace bronzedeal::gateway
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -532,7 +532,10 @@
     mRefusingUntil = now + kRefusedPause;
     Finish(aAttempt, AttemptResult::NotRun, AttemptFault::Refused, aResponse);
   } else {
-    mCutRuns.OnAnswered(aAttempt->sentAt);
+    if (ProvesRun(*aResponse, headerNames)) {
+      // The expected server has answered. An error may come from another one.
+      mCutRuns.OnAnswered(aAttempt->sentAt);
+    }
     AddOutcomeSample(aResponse->result_int() >= 500, now);
     AddLatencySample(aAttempt->request->profile, now - aAttempt->sentAt, now);
     Finish(aAttempt, AttemptResult::Answered, AttemptFault::None, aResponse);
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -122,6 +122,7 @@
     if (!isRefused) {
       // What the server announces concerns the helper, which sends to it.
       const auto& names = Process().settings.headerNames;
+      mRunIsProven = ProvesRun(*aResponse, names);
       aResponse->erase(names.rateLimit);
       aResponse->erase(names.leaving);
       aResponse->erase(kHandoverHeader);
@@ -200,7 +201,7 @@
     auto& quarantine = Process().crashQuarantine;
     if (aStatus == 502 || aStatus == 504) {
       quarantine.OnUnanswered(mContent, aNow);
-    } else if (aStatus != 503) {
+    } else if (mRunIsProven) {
       quarantine.OnAnswered(mContent, aNow);
     }
   }
@@ -224,6 +225,7 @@
   std::shared_ptr<BackendServer> mHelper;
   std::shared_ptr<Attempt> mAttempt;
   std::size_t mSendCount = 0;
+  bool mRunIsProven = false;
   TimerQueue::Handle mDeadlineTimer;
 };
 
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -108,4 +108,16 @@
   return out;
 }
 
+bool ProvesRun(const ResponseMessage& aResponse, const HeaderNames& aNames)
+{
+  const auto status = aResponse.result_int();
+  if (status >= 500 || status == 408 || status == 421 || status == 429) {
+    return false;
+  }
+  const auto missing = aResponse[aNames.missingShards];
+  return !aResponse[aNames.signature].empty() ||
+         (!aResponse[aNames.partSignatures].empty() &&
+          (missing.empty() || missing == "0"));
+}
+
 } // namespace bronzedeal::gateway
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -244,8 +244,10 @@
   void OnAnswer(const RunningAttempt& aRunning, ResponseMessage& aResponse)
   {
     const auto& attempt = aRunning.attempt;
-    Process().crashQuarantine.OnAnswered(*mServerRequest->content,
-                                         steady_clock::now());
+    if (ProvesRun(aResponse, Process().settings.headerNames)) {
+      Process().crashQuarantine.OnAnswered(*mServerRequest->content,
+                                           steady_clock::now());
+    }
     if (attempt && !IsFailure(aResponse.result_int())) {
       mContext.latency.AddSample(*mRequest.route,
                                  steady_clock::now() - attempt->sentAt);
@@ -344,6 +346,7 @@
       return;
     }
     if (mServerFailure) {
+      RecordCuts();
       Finish(std::move(*mServerFailure), aCause);
     } else if (mMayHaveRunCount > 0 && !NoAttemptSent()) {
       RecordCuts();
@@ -366,7 +369,7 @@
     }
   }
 
-  /// Records that no server has answered the request.
+  /// Records that no server has proven to have run the request to its end.
   void RecordCuts()
   {
     const auto now = steady_clock::now();
