--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -29,6 +29,7 @@
 #include "bronzedeal/gateway/cold_allowance.hpp"
 #include "bronzedeal/gateway/connection_options.hpp"
 #include "bronzedeal/gateway/content_id.hpp"
+#include "bronzedeal/gateway/crash_notice.hpp"
 #include "bronzedeal/gateway/crash_quarantine.hpp"
 #include "bronzedeal/gateway/cut_runs.hpp"
 #include "bronzedeal/gateway/decision_log.hpp"
--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -141,6 +141,9 @@
   /// is open again.
   [[nodiscard]] bool IsReachable() const noexcept;
 
+  /// Tells the runs of servers apart; a restarted server may have the same id.
+  [[nodiscard]] std::uint32_t RunHash() const noexcept;
+
   /// Whether the server answers; it doesn't if it isn't reachable.
   [[nodiscard]] gateway::AnswerState AnswerState(TimePoint aNow) const noexcept;
 
--- a/include/bronzedeal/gateway/crash_quarantine.hpp
+++ b/include/bronzedeal/gateway/crash_quarantine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzedeal/gateway/content_id.hpp"
+#include "bronzedeal/gateway/crash_notice.hpp"
 #include "bronzedeal/gateway/cut_runs.hpp"
 #include "bronzedeal/types.hpp"
 
@@ -54,8 +55,9 @@
   std::size_t crashes = 0;
 };
 
-/// A run of a content that was still in progress when its server ended.
-struct CrashedRun
+/// A run of a content that had no answer: its server ended, or has perhaps
+/// ended.
+struct LostRun
 {
   /// Hash of the server's id and start; a server ends once.
   std::uint32_t server = 0;
@@ -63,22 +65,6 @@
   TimePoint endedAt{};
 };
 
-/// What one instance tells others about a content. Times are given as ages, so
-/// that clocks needn't agree.
-struct CrashNotice
-{
-  struct Run
-  {
-    std::uint32_t server = 0;
-    std::chrono::microseconds sentAge{ 0 };
-    std::chrono::microseconds endedAge{ 0 };
-  };
-  ContentId content{};
-  std::vector<Run> runs;
-  /// Age of the latest answer of a server to this content, if one is known.
-  std::optional<std::chrono::microseconds> answeredAge;
-};
-
 /// Finds the contents that crash the servers which run them, from the runs that
 /// ended together with their servers.
 ///
@@ -87,8 +73,16 @@
 /// after the other, each under a run that was sent after the server before had
 /// ended, while no server has answered. Two make a content suspect, three
 /// quarantine it. Concurrent runs that end together, as in the loss of a
-/// failure domain, count as one. Any answer clears the content, since a
-/// crashing one gets none.
+/// failure domain, count as one.
+///
+/// The end of a server is proven some seconds later. Until then, runs without
+/// an answer count like ends, but what follows from them holds only for the
+/// time of the proof; two servers that left the content unanswered at the same
+/// time make it suspect, too.
+///
+/// An answer that proves a run clears the content, since a crashing one gets
+/// none. An error proves nothing: a server may fail requests that it hasn't
+/// begun to run.
 ///
 /// Performs no I/O and reads no clock. Not thread-safe.
 class CrashQuarantine
@@ -106,8 +100,8 @@
     /// is up to a half longer, by a hash of the instance and the content, so
     /// that one instance tries first and tells the others the result.
     Duration hold = std::chrono::minutes(10);
-    /// A content whose requests were broken off is suspect for this long, until
-    /// it is known whether their servers have ended.
+    /// Runs without an answer count for this long, until it is known whether
+    /// their servers have ended.
     Duration verdictTime = kServerEndProofTime;
     /// A change is told to others for this long.
     Duration tellDuration = std::chrono::seconds(10);
@@ -135,41 +129,50 @@
   [[nodiscard]] Duration TimeUntilTrial(const ContentId& aContent,
                                         TimePoint aNow) const;
 
-  /// Reserves the only request of a suspect content. The trial ends when the
+  /// Reserves the only request of a suspect content, which ends at `aDeadline`
+  /// at the latest, and tells the others of it. The trial ends when the
   /// returned object is destroyed, which must happen before the destruction of
-  /// this one. Null while another trial is in progress.
-  [[nodiscard]] std::shared_ptr<void> TryBeginTrial(const ContentId& aContent);
+  /// this one. Null while another trial is in progress here or at another
+  /// instance.
+  [[nodiscard]] std::shared_ptr<void> TryBeginTrial(const ContentId& aContent,
+                                                    TimePoint aNow,
+                                                    TimePoint aDeadline);
 
   /// Records that a server has ended during a run of the content. Returns the
   /// number of servers that ended one after the other under it.
   unsigned OnServerEnded(const ContentId& aContent,
-                         const CrashedRun& aRun,
+                         const LostRun& aRun,
                          TimePoint aNow);
 
   /// Records that a request ended without an answer, and that a server had
-  /// broken off one of its runs at `aCutAt`, or had not answered it by then.
-  /// Two such runs, one after the other and without an answer in between, make
-  /// the content suspect at this instance until it is known whether their
-  /// servers have ended.
-  void OnCut(const ContentId& aContent, TimePoint aSentAt, TimePoint aCutAt);
+  /// broken off one of its runs at `aRun.endedAt`, or had not answered it by
+  /// then.
+  void OnCut(const ContentId& aContent, const LostRun& aRun, TimePoint aNow);
 
   /// Records that servers broke off several attempts of a request and answered
   /// none. This makes the content suspect at this instance until the ends of
   /// these servers are proven.
   void OnUnanswered(const ContentId& aContent, TimePoint aNow);
 
-  /// Records that a server has answered a request of the content.
+  /// Records an answer that proves a run of the content.
   void OnAnswered(const ContentId& aContent, TimePoint aNow);
 
   /// Adopts what another instance knows.
   void Merge(const std::vector<CrashNotice>& aNotices, TimePoint aNow);
 
-  /// True if a verdict has become graver since the last call, so that others
-  /// should be told at once.
-  [[nodiscard]] bool TakeGraver() noexcept;
+  /// True if something has happened since the last call that others should be
+  /// told at once: a verdict that has become graver, or that an answer has
+  /// ended, or a trial.
+  [[nodiscard]] bool TakeUrgent() noexcept;
+
+  /// Calls `aHandler` when something urgent has happened at this instance.
+  void SetUrgentHandler(std::function<void()> aHandler);
 
-  /// Recent changes, the gravest first.
-  [[nodiscard]] std::vector<CrashNotice> RecentNotices(TimePoint aNow) const;
+  /// Recent changes, the gravest first. Without `aWithUnproven`, runs without
+  /// proof are left out: an instance that is cut off loses all runs.
+  [[nodiscard]] std::vector<CrashNotice> RecentNotices(
+    TimePoint aNow,
+    bool aWithUnproven = true);
 
   /// All suspect and quarantined contents, for an instance that has started; at
   /// most as many as `maxContents`.
@@ -184,14 +187,17 @@
   struct Entry
   {
     /// Runs one after the other, in order of time; at most `kMaxRuns`.
-    std::vector<CrashedRun> runs;
+    std::vector<LostRun> runs;
+    /// Runs without an answer, in order of time; at most `kMaxRuns`.
+    std::vector<LostRun> unprovenRuns;
     std::optional<TimePoint> answeredAt;
-    /// Number of runs one after the other that were cut since the last answer.
-    unsigned cutCount = 0;
-    TimePoint lastCutAt{};
     TimePoint unansweredUntil{};
     TimePoint changedAt{};
     bool trialInProgress = false;
+    /// End of the trial of this instance, at the latest.
+    std::optional<TimePoint> trialUntil;
+    /// The same of another instance's.
+    TimePoint otherTrialUntil{};
   };
   struct ContentHash
   {
@@ -210,8 +216,17 @@
              VerdictCause aCause,
              TimePoint aNow,
              const Change& aChange);
-  void AddRun(Entry& aEntry, const CrashedRun& aRun, TimePoint aNow);
-  static void AddAnswer(Entry& aEntry, TimePoint aAnsweredAt, TimePoint aNow);
+  void AddRun(Entry& aEntry, const LostRun& aRun, TimePoint aNow);
+  void AddUnprovenRun(Entry& aEntry, const LostRun& aRun, TimePoint aNow);
+  /// Number of runs one after the other, those without proof included.
+  [[nodiscard]] std::size_t CountLostRuns(const Entry& aEntry) const;
+  /// True while runs without proof count.
+  [[nodiscard]] bool AwaitsProof(const Entry& aEntry, TimePoint aNow) const;
+  [[nodiscard]] bool IsWeak(const Entry& aEntry) const;
+  void EndTrial(const ContentId& aContent);
+  /// Marks a change that others should be told at once.
+  void SetUrgent();
+  void AddAnswer(Entry& aEntry, TimePoint aAnsweredAt, TimePoint aNow);
   Table::value_type& FindOrCreate(const ContentId& aContent, TimePoint aNow);
   void MakeRoom(TimePoint aNow);
   [[nodiscard]] static CrashNotice MakeNotice(const Table::value_type& aEntry,
@@ -221,15 +236,8 @@
   Options mOptions;
   ChangeHandler mOnChange;
   Table mContents;
-  bool mHasGraver = false;
+  std::function<void()> mOnUrgent;
+  bool mIsUrgent = false;
 };
 
-/// The JSON text of a datagram with notices.
-[[nodiscard]] std::string EncodeCrashNotices(
-  const std::vector<CrashNotice>& aNotices);
-
-/// The notices of a datagram; nothing if it holds something else.
-[[nodiscard]] std::optional<std::vector<CrashNotice>> DecodeCrashNotices(
-  std::string_view aText);
-
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/exchange.hpp
+++ b/include/bronzedeal/gateway/exchange.hpp
@@ -87,9 +87,11 @@
   std::shared_ptr<void> trial;
 };
 
+/// `aDeadline` is the time of the final answer at the latest.
 [[nodiscard]] ContentPermit ObtainContentPermit(Process& aProcess,
                                                 const ContentId& aContent,
-                                                TimePoint aNow);
+                                                TimePoint aNow,
+                                                TimePoint aDeadline);
 
 [[nodiscard]] ContentId ContentIdOf(const RequestMessage& aRequest);
 
@@ -104,6 +106,13 @@
 [[nodiscard]] TimePoint LateResponseDeadline(const RoutedRequest& aRequest,
                                              TimePoint aNow) noexcept;
 
+/// True if an attempt that is in progress when its request ends should have
+/// been answered: the deadline has passed, and the server had the objective's
+/// time.
+[[nodiscard]] bool IsOverdue(const Attempt& aAttempt,
+                             const RoutedRequest& aRequest,
+                             TimePoint aNow) noexcept;
+
 /// Sends the request to one server of the group, and retries or hedges on
 /// others as the route and the group's retry budget allow.
 std::shared_ptr<Exchange> StartSingleExchange(const ExchangeContext& aContext,
--- a/include/bronzedeal/gateway/peer_gossip.hpp
+++ b/include/bronzedeal/gateway/peer_gossip.hpp
@@ -42,6 +42,8 @@
                         const std::vector<CrashNotice>& aNotices);
   /// Tells peers which contents have crashed servers lately.
   void TellCrashes(std::size_t aCrossDomainCount, TimePoint aNow);
+  /// The same as soon as the handlers that are due have run.
+  void TellCrashesSoon();
   void Receive();
   void OnDatagram(std::size_t aSize);
 
@@ -54,6 +56,7 @@
   unsigned mRoundCount = 0;
   std::size_t mAliveCount = 1;
   bool mRunning = false;
+  bool mTellsSoon = false;
 };
 
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/query_caution.hpp
+++ b/include/bronzedeal/gateway/query_caution.hpp
@@ -46,6 +46,8 @@
   /// Records that a shard was answered.
   void OnAnswered() noexcept;
 
+  [[nodiscard]] bool IsAnswered() const noexcept { return mIsAnswered; }
+
   /// True if servers broke off so many attempts and answered none that the next
   /// query with this content should be sent with caution.
   [[nodiscard]] bool IsContentSuspect() const noexcept;
--- a/src/gateway/backend_server_evidence.cpp
+++ b/src/gateway/backend_server_evidence.cpp
@@ -20,15 +20,14 @@
 /// Time to wait for an answer after which another connection may show more.
 constexpr auto kLinkAwaitTime = milliseconds(2000);
 
-/// Tells the runs of servers apart; a restarted server may have the same id.
-std::uint32_t RunHash(const ServerRecord& aRecord)
+} // namespace
+
+std::uint32_t BackendServer::RunHash() const noexcept
 {
   return static_cast<std::uint32_t>(XXH3_64bits_withSeed(
-    aRecord.id.data(), aRecord.id.size(), aRecord.startedAtMs));
+    mRecord.id.data(), mRecord.id.size(), mRecord.startedAtMs));
 }
 
-} // namespace
-
 AnswerState BackendServer::AnswerState(TimePoint aNow) const noexcept
 {
   if (!mReachable) {
@@ -121,7 +120,7 @@
   mProcess.metrics.Add(process::Counter::ServersEnded);
   for (const auto& it : runs) {
     const auto crashes = mProcess.crashQuarantine.OnServerEnded(
-      it.content, { RunHash(mRecord), it.sentAt, it.cutAt }, aNow);
+      it.content, { RunHash(), it.sentAt, it.cutAt }, aNow);
     mProcess.log.Write("server_ended",
                        { { "server", mRecord.id },
                          { "group", mRecord.group },
--- /dev/null
+++ b/src/gateway/crash_notice.cpp
@@ -0,0 +1,200 @@
+#include "bronzedeal/gateway/crash_notice.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+namespace bronzedeal::gateway {
+
+namespace json = boost::json;
+using std::chrono::microseconds;
+
+namespace {
+
+/// Keys of the lists in a datagram. A datagram with states of instances is an
+/// array, so earlier versions ignore these, as they ignore unknown lists.
+constexpr std::string_view kNoticesKey = "crashes";
+constexpr std::string_view kUnprovenKey = "unproven";
+constexpr std::string_view kTrialsKey = "trials";
+/// Elements of a notice: the content, the age of the answer, and the runs as
+/// three numbers each. The other lists have a content, and runs or a time.
+constexpr std::size_t kNoticeHeadCount = 2;
+constexpr std::size_t kUnprovenHeadCount = 1;
+constexpr std::size_t kTrialFieldCount = 2;
+constexpr std::size_t kRunFieldCount = 3;
+
+std::optional<microseconds> AgeOf(const json::value& aValue)
+{
+  boost::system::error_code ec;
+  const auto age = aValue.to_number<std::int64_t>(ec);
+  if (ec || age < 0 || age > kMaxNoticeAge.count()) {
+    return std::nullopt;
+  }
+  return microseconds(age);
+}
+
+/// The content that a row begins with; nothing if the row is too short or its
+/// further elements are no runs.
+std::optional<ContentId> DecodeContent(const json::value& aRow,
+                                       std::size_t aHeadCount)
+{
+  const auto* fields = aRow.if_array();
+  if (fields == nullptr || fields->size() < aHeadCount ||
+      (fields->size() - aHeadCount) % kRunFieldCount != 0 ||
+      !(*fields)[0].is_string()) {
+    return std::nullopt;
+  }
+  return ContentIdFromHex((*fields)[0].get_string());
+}
+
+bool DecodeRuns(const json::array& aFields,
+                std::size_t aFirst,
+                std::vector<CrashNotice::Run>& aRuns)
+{
+  for (auto n = aFirst; n < aFields.size(); n += kRunFieldCount) {
+    boost::system::error_code ec;
+    const auto server = aFields[n].to_number<std::uint32_t>(ec);
+    const auto sentAge = AgeOf(aFields[n + 1]);
+    const auto endedAge = AgeOf(aFields[n + 2]);
+    if (ec || !sentAge || !endedAge) {
+      return false;
+    }
+    aRuns.push_back({ server, *sentAge, *endedAge });
+  }
+  return true;
+}
+
+std::optional<CrashNotice> DecodeNotice(const json::value& aRow)
+{
+  const auto content = DecodeContent(aRow, kNoticeHeadCount);
+  if (!content) {
+    return std::nullopt;
+  }
+  CrashNotice notice;
+  notice.content = *content;
+  const auto& fields = aRow.get_array();
+  if (!fields[1].is_null()) {
+    notice.answeredAge = AgeOf(fields[1]);
+    if (!notice.answeredAge) {
+      return std::nullopt;
+    }
+  }
+  return DecodeRuns(fields, kNoticeHeadCount, notice.runs)
+           ? std::optional(std::move(notice))
+           : std::nullopt;
+}
+
+std::optional<CrashNotice> DecodeUnproven(const json::value& aRow)
+{
+  const auto content = DecodeContent(aRow, kUnprovenHeadCount);
+  if (!content) {
+    return std::nullopt;
+  }
+  CrashNotice notice;
+  notice.content = *content;
+  return DecodeRuns(aRow.get_array(), kUnprovenHeadCount, notice.unprovenRuns)
+           ? std::optional(std::move(notice))
+           : std::nullopt;
+}
+
+std::optional<CrashNotice> DecodeTrial(const json::value& aRow)
+{
+  const auto content = DecodeContent(aRow, kTrialFieldCount);
+  if (!content) {
+    return std::nullopt;
+  }
+  CrashNotice notice;
+  notice.content = *content;
+  notice.trialTime = AgeOf(aRow.get_array()[1]);
+  return notice.trialTime ? std::optional(std::move(notice)) : std::nullopt;
+}
+
+/// Decodes a list of a datagram and appends its notices.
+template<typename Decode>
+bool DecodeList(const json::object& aRoot,
+                std::string_view aKey,
+                const Decode& aDecode,
+                std::vector<CrashNotice>& aNotices)
+{
+  const auto* rows = aRoot.if_contains(aKey);
+  if (rows == nullptr) {
+    return true;
+  }
+  if (!rows->is_array()) {
+    return false;
+  }
+  for (const auto& it : rows->get_array()) {
+    auto notice = aDecode(it);
+    if (!notice) {
+      return false;
+    }
+    aNotices.push_back(std::move(*notice));
+  }
+  return true;
+}
+
+void AppendRuns(json::array& aRow, const std::vector<CrashNotice::Run>& aRuns)
+{
+  for (const auto& it : aRuns) {
+    aRow.push_back(it.server);
+    aRow.push_back(it.sentAge.count());
+    aRow.push_back(it.endedAge.count());
+  }
+}
+
+} // namespace
+
+std::string EncodeCrashNotices(const std::vector<CrashNotice>& aNotices)
+{
+  json::array rows;
+  json::array unproven;
+  json::array trials;
+  for (const auto& notice : aNotices) {
+    const auto content = ToHex(notice.content);
+    json::array row{ content, nullptr };
+    if (notice.answeredAge) {
+      row[1] = notice.answeredAge->count();
+    }
+    AppendRuns(row, notice.runs);
+    rows.push_back(std::move(row));
+    if (!notice.unprovenRuns.empty()) {
+      json::array runs{ content };
+      AppendRuns(runs, notice.unprovenRuns);
+      unproven.push_back(std::move(runs));
+    }
+    if (notice.trialTime) {
+      trials.push_back(json::array{ content, notice.trialTime->count() });
+    }
+  }
+  json::object root{ { kNoticesKey, std::move(rows) } };
+  if (!unproven.empty()) {
+    root[kUnprovenKey] = std::move(unproven);
+  }
+  if (!trials.empty()) {
+    root[kTrialsKey] = std::move(trials);
+  }
+  return json::serialize(root);
+}
+
+std::optional<std::vector<CrashNotice>> DecodeCrashNotices(
+  std::string_view aText)
+{
+  if (!aText.starts_with('{')) {
+    return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const auto value = json::parse(aText, ec);
+  const auto* root = ec ? nullptr : value.if_object();
+  std::vector<CrashNotice> notices;
+  if (root == nullptr || !root->contains(kNoticesKey) ||
+      !DecodeList(*root, kNoticesKey, DecodeNotice, notices) ||
+      !DecodeList(*root, kUnprovenKey, DecodeUnproven, notices) ||
+      !DecodeList(*root, kTrialsKey, DecodeTrial, notices)) {
+    return std::nullopt;
+  }
+  return notices;
+}
+
+} // namespace bronzedeal::gateway
--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -2,31 +2,18 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
 namespace bronzedeal::gateway {
 
-namespace json = boost::json;
 using std::chrono::microseconds;
 
 namespace {
 
 /// More runs than these add nothing to the verdict.
 constexpr std::size_t kMaxRuns = 4;
-/// Ages above this are given as this.
-constexpr microseconds kMaxAge = std::chrono::hours(24);
-/// Key of the notices in a datagram. A datagram with states of instances is an
-/// array, so earlier versions ignore these.
-constexpr std::string_view kNoticesKey = "crashes";
-/// Elements of a notice: the content, the age of the answer, and the runs as
-/// three numbers each.
-constexpr std::size_t kNoticeHeadCount = 2;
-constexpr std::size_t kRunFieldCount = 3;
 
 /// In the order of `ContentVerdict`.
 constexpr std::array<std::string_view, 3> kVerdictNames{ "free",
@@ -43,49 +30,37 @@
 microseconds AgeAt(TimePoint aWhen, TimePoint aNow)
 {
   return std::clamp<microseconds>(
-    std::chrono::floor<microseconds>(aNow - aWhen), microseconds(0), kMaxAge);
+    std::chrono::floor<microseconds>(aNow - aWhen),
+    microseconds(0),
+    kMaxNoticeAge);
 }
 
-std::optional<microseconds> AgeOf(const json::value& aValue)
+bool HasServer(const std::vector<LostRun>& aRuns, std::uint32_t aServer)
 {
-  boost::system::error_code ec;
-  const auto age = aValue.to_number<std::int64_t>(ec);
-  if (ec || age < 0 || age > kMaxAge.count()) {
-    return std::nullopt;
-  }
-  return microseconds(age);
+  return std::any_of(aRuns.begin(), aRuns.end(), [&](const auto& aIt) {
+    return aIt.server == aServer;
+  });
 }
 
-std::optional<CrashNotice> DecodeNotice(const json::value& aValue)
+void SortByEnd(std::vector<LostRun>& aRuns)
 {
-  const auto* fields = aValue.if_array();
-  if (fields == nullptr || fields->size() < kNoticeHeadCount ||
-      (fields->size() - kNoticeHeadCount) % kRunFieldCount != 0 ||
-      !(*fields)[0].is_string()) {
-    return std::nullopt;
-  }
-  const auto content = ContentIdFromHex((*fields)[0].get_string());
-  if (!content) {
-    return std::nullopt;
-  }
-  CrashNotice notice{ *content, {}, std::nullopt };
-  if (!(*fields)[1].is_null()) {
-    notice.answeredAge = AgeOf((*fields)[1]);
-    if (!notice.answeredAge) {
-      return std::nullopt;
-    }
-  }
-  for (auto n = kNoticeHeadCount; n < fields->size(); n += kRunFieldCount) {
-    boost::system::error_code ec;
-    const auto server = (*fields)[n].to_number<std::uint32_t>(ec);
-    const auto sentAge = AgeOf((*fields)[n + 1]);
-    const auto endedAge = AgeOf((*fields)[n + 2]);
-    if (ec || !sentAge || !endedAge) {
-      return std::nullopt;
+  std::sort(
+    aRuns.begin(), aRuns.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.endedAt < aRight.endedAt;
+    });
+}
+
+/// The longest sequence of runs that don't overlap. `aRuns` is in order of
+/// time.
+std::vector<LostRun> LongestSequence(const std::vector<LostRun>& aRuns)
+{
+  std::vector<LostRun> sequence;
+  for (const auto& it : aRuns) {
+    if (sequence.empty() || it.sentAt >= sequence.back().endedAt) {
+      sequence.push_back(it);
     }
-    notice.runs.push_back({ server, *sentAge, *endedAge });
   }
-  return notice;
+  return sequence;
 }
 
 } // namespace
@@ -140,15 +115,48 @@
 ContentVerdict CrashQuarantine::VerdictOf(const Table::value_type& aEntry,
                                           TimePoint aNow) const
 {
-  const auto& runs = aEntry.second.runs;
-  if (runs.size() < mOptions.suspectCrashes || IsOutdated(aEntry, aNow)) {
-    return aNow < aEntry.second.unansweredUntil ? ContentVerdict::Suspect
-                                                : ContentVerdict::Free;
+  const auto& [content, entry] = aEntry;
+  if (IsOutdated(aEntry, aNow)) {
+    return ContentVerdict::Free;
+  }
+  const bool isProven = entry.runs.size() >= mOptions.quarantineCrashes &&
+                        aNow < entry.runs.back().endedAt + HoldOf(content);
+  const bool awaitsProof = AwaitsProof(entry, aNow);
+  if (isProven ||
+      (awaitsProof && CountLostRuns(entry) >= mOptions.quarantineCrashes)) {
+    return ContentVerdict::Quarantined;
+  }
+  const bool isSuspect =
+    entry.runs.size() >= mOptions.suspectCrashes ||
+    aNow < entry.unansweredUntil ||
+    (awaitsProof && (entry.unprovenRuns.size() >= mOptions.suspectCrashes ||
+                     CountLostRuns(entry) >= mOptions.suspectCrashes));
+  return isSuspect ? ContentVerdict::Suspect : ContentVerdict::Free;
+}
+
+std::size_t CrashQuarantine::CountLostRuns(const Entry& aEntry) const
+{
+  auto runs = aEntry.runs;
+  for (const auto& it : aEntry.unprovenRuns) {
+    if (!HasServer(runs, it.server)) {
+      runs.push_back(it);
+    }
   }
-  return runs.size() >= mOptions.quarantineCrashes &&
-             aNow < runs.back().endedAt + HoldOf(aEntry.first)
-           ? ContentVerdict::Quarantined
-           : ContentVerdict::Suspect;
+  SortByEnd(runs);
+  return LongestSequence(runs).size();
+}
+
+bool CrashQuarantine::AwaitsProof(const Entry& aEntry, TimePoint aNow) const
+{
+  return !aEntry.unprovenRuns.empty() &&
+         aNow < aEntry.unprovenRuns.back().endedAt + mOptions.verdictTime;
+}
+
+bool CrashQuarantine::IsWeak(const Entry& aEntry) const
+{
+  return aEntry.runs.size() < mOptions.suspectCrashes &&
+         aEntry.unprovenRuns.size() < mOptions.suspectCrashes &&
+         !aEntry.trialUntil;
 }
 
 Duration CrashQuarantine::TimeUntilTrial(const ContentId& aContent,
@@ -159,7 +167,16 @@
       VerdictOf(*it, aNow) != ContentVerdict::Quarantined) {
     return Duration::zero();
   }
-  return it->second.runs.back().endedAt + HoldOf(aContent) - aNow;
+  const auto& entry = it->second;
+  auto until = aNow;
+  if (entry.runs.size() >= mOptions.quarantineCrashes) {
+    until = entry.runs.back().endedAt + HoldOf(aContent);
+  }
+  if (AwaitsProof(entry, aNow)) {
+    until =
+      std::max(until, entry.unprovenRuns.back().endedAt + mOptions.verdictTime);
+  }
+  return until - aNow;
 }
 
 Duration CrashQuarantine::HoldOf(const ContentId& aContent) const
@@ -176,8 +193,12 @@
   const auto& [content, entry] = aEntry;
   auto until =
     std::max({ entry.unansweredUntil,
-               entry.lastCutAt + mOptions.verdictTime,
+               entry.otherTrialUntil,
                entry.answeredAt.value_or(TimePoint{}) + mOptions.memory });
+  if (!entry.unprovenRuns.empty()) {
+    until =
+      std::max(until, entry.unprovenRuns.back().endedAt + mOptions.verdictTime);
+  }
   if (!entry.runs.empty()) {
     const bool wasQuarantined = entry.runs.size() >= mOptions.quarantineCrashes;
     until = std::max(until,
@@ -187,86 +208,126 @@
   return aNow >= until;
 }
 
-std::shared_ptr<void> CrashQuarantine::TryBeginTrial(const ContentId& aContent)
+std::shared_ptr<void> CrashQuarantine::TryBeginTrial(const ContentId& aContent,
+                                                     TimePoint aNow,
+                                                     TimePoint aDeadline)
 {
   const auto it = mContents.find(aContent);
-  if (it == mContents.end() || it->second.trialInProgress) {
+  if (it == mContents.end() || it->second.trialInProgress ||
+      aNow < it->second.otherTrialUntil) {
     return nullptr;
   }
-  it->second.trialInProgress = true;
-  return std::shared_ptr<void>(this, [this, aContent](void*) {
-    if (const auto entry = mContents.find(aContent); entry != mContents.end()) {
-      entry->second.trialInProgress = false;
-    }
-  });
+  auto& entry = it->second;
+  entry.trialInProgress = true;
+  entry.trialUntil = aDeadline;
+  entry.changedAt = aNow;
+  SetUrgent();
+  return std::shared_ptr<void>(this,
+                               [this, aContent](void*) { EndTrial(aContent); });
+}
+
+void CrashQuarantine::EndTrial(const ContentId& aContent)
+{
+  if (const auto it = mContents.find(aContent); it != mContents.end()) {
+    it->second.trialInProgress = false;
+    it->second.trialUntil = TimePoint{};
+    SetUrgent();
+  }
+}
+
+void CrashQuarantine::SetUrgent()
+{
+  mIsUrgent = true;
+  if (mOnUrgent) {
+    mOnUrgent();
+  }
+}
+
+void CrashQuarantine::SetUrgentHandler(std::function<void()> aHandler)
+{
+  mOnUrgent = std::move(aHandler);
 }
 
 unsigned CrashQuarantine::OnServerEnded(const ContentId& aContent,
-                                        const CrashedRun& aRun,
+                                        const LostRun& aRun,
                                         TimePoint aNow)
 {
   auto& row = FindOrCreate(aContent, aNow);
   Apply(row, VerdictCause::ServerEnded, aNow, [&](Entry& aEntry) {
     AddRun(aEntry, aRun, aNow);
   });
+  if (mIsUrgent) {
+    SetUrgent();
+  }
   return static_cast<unsigned>(row.second.runs.size());
 }
 
-void CrashQuarantine::AddRun(Entry& aEntry,
-                             const CrashedRun& aRun,
-                             TimePoint aNow)
+void CrashQuarantine::AddRun(Entry& aEntry, const LostRun& aRun, TimePoint aNow)
 {
   auto& runs = aEntry.runs;
-  const auto isSameServer = [&](const auto& aIt) {
-    return aIt.server == aRun.server;
-  };
-  if (std::any_of(runs.begin(), runs.end(), isSameServer) ||
+  if (HasServer(runs, aRun.server) ||
       (aEntry.answeredAt && aRun.endedAt <= *aEntry.answeredAt)) {
     return;
   }
   const auto formerCount = runs.size();
   runs.push_back(aRun);
-  std::sort(
-    runs.begin(), runs.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.endedAt < aRight.endedAt;
-    });
-  // The longest sequence of runs that don't overlap.
-  std::vector<CrashedRun> sequence;
-  for (const auto& it : runs) {
-    if (sequence.empty() || it.sentAt >= sequence.back().endedAt) {
-      sequence.push_back(it);
-    }
-  }
-  if (sequence.size() > kMaxRuns) {
-    sequence.erase(sequence.begin());
+  SortByEnd(runs);
+  runs = LongestSequence(runs);
+  if (runs.size() > kMaxRuns) {
+    runs.erase(runs.begin());
   }
-  runs = std::move(sequence);
-  if (std::any_of(runs.begin(), runs.end(), isSameServer)) {
+  if (HasServer(runs, aRun.server)) {
     aEntry.changedAt = aNow;
   }
-  mHasGraver = mHasGraver || (runs.size() > formerCount &&
-                              runs.size() >= mOptions.suspectCrashes);
+  mIsUrgent = mIsUrgent || (runs.size() > formerCount &&
+                            runs.size() >= mOptions.suspectCrashes);
+}
+
+void CrashQuarantine::AddUnprovenRun(Entry& aEntry,
+                                     const LostRun& aRun,
+                                     TimePoint aNow)
+{
+  auto& runs = aEntry.unprovenRuns;
+  std::erase_if(runs, [&](const auto& aIt) {
+    return aIt.endedAt + mOptions.verdictTime <= aNow;
+  });
+  if (HasServer(runs, aRun.server) || HasServer(aEntry.runs, aRun.server) ||
+      aRun.endedAt + mOptions.verdictTime <= aNow ||
+      (aEntry.answeredAt && aRun.endedAt <= *aEntry.answeredAt)) {
+    return;
+  }
+  runs.push_back(aRun);
+  SortByEnd(runs);
+  if (runs.size() > kMaxRuns) {
+    // Runs that overlap others say least.
+    const auto sequence = LongestSequence(runs);
+    const auto overlapping =
+      std::find_if(runs.begin(), runs.end(), [&](const auto& aIt) {
+        return !HasServer(sequence, aIt.server);
+      });
+    runs.erase(overlapping == runs.end() ? runs.begin() : overlapping);
+  }
+  aEntry.changedAt = aNow;
+  aEntry.otherTrialUntil = TimePoint{};
+  mIsUrgent = mIsUrgent || runs.size() >= mOptions.suspectCrashes;
 }
 
-bool CrashQuarantine::TakeGraver() noexcept
+bool CrashQuarantine::TakeUrgent() noexcept
 {
-  return std::exchange(mHasGraver, false);
+  return std::exchange(mIsUrgent, false);
 }
 
 void CrashQuarantine::OnCut(const ContentId& aContent,
-                            TimePoint aSentAt,
-                            TimePoint aCutAt)
+                            const LostRun& aRun,
+                            TimePoint aNow)
 {
-  auto& row = FindOrCreate(aContent, aCutAt);
-  Apply(row, VerdictCause::Unanswered, aCutAt, [&](Entry& aEntry) {
-    if (aEntry.cutCount == 0 || aSentAt >= aEntry.lastCutAt) {
-      ++aEntry.cutCount;
-    }
-    aEntry.lastCutAt = std::max(aEntry.lastCutAt, aCutAt);
-    if (aEntry.cutCount >= mOptions.suspectCrashes) {
-      aEntry.unansweredUntil = aCutAt + mOptions.verdictTime;
-    }
+  auto& row = FindOrCreate(aContent, aNow);
+  Apply(row, VerdictCause::Unanswered, aNow, [&](Entry& aEntry) {
+    AddUnprovenRun(aEntry, aRun, aNow);
   });
+  if (mIsUrgent) {
+    SetUrgent();
+  }
 }
 
 void CrashQuarantine::OnUnanswered(const ContentId& aContent, TimePoint aNow)
@@ -283,6 +344,9 @@
     Apply(*it, VerdictCause::Answered, aNow, [&](Entry& aEntry) {
       AddAnswer(aEntry, aNow, aNow);
     });
+    if (mIsUrgent) {
+      SetUrgent();
+    }
   }
 }
 
@@ -294,13 +358,17 @@
     return;
   }
   aEntry.answeredAt = aAnsweredAt;
-  aEntry.cutCount = 0;
   aEntry.unansweredUntil = TimePoint{};
+  aEntry.otherTrialUntil = TimePoint{};
+  const bool wasWeak = IsWeak(aEntry);
   const auto isBefore = [&](const auto& aIt) {
     return aIt.endedAt <= aAnsweredAt;
   };
-  if (std::erase_if(aEntry.runs, isBefore) > 0) {
+  const auto clearedCount = std::erase_if(aEntry.runs, isBefore) +
+                            std::erase_if(aEntry.unprovenRuns, isBefore);
+  if (clearedCount > 0) {
     aEntry.changedAt = aNow;
+    mIsUrgent = mIsUrgent || !wasWeak;
   }
 }
 
@@ -317,6 +385,13 @@
         AddRun(
           aEntry, { it.server, aNow - it.sentAge, aNow - it.endedAge }, aNow);
       }
+      for (const auto& it : notice.unprovenRuns) {
+        AddUnprovenRun(
+          aEntry, { it.server, aNow - it.sentAge, aNow - it.endedAge }, aNow);
+      }
+      if (notice.trialTime) {
+        aEntry.otherTrialUntil = aNow + *notice.trialTime;
+      }
     });
   }
 }
@@ -354,44 +429,63 @@
 CrashNotice CrashQuarantine::MakeNotice(const Table::value_type& aEntry,
                                         TimePoint aNow)
 {
-  CrashNotice notice{ aEntry.first, {}, std::nullopt };
-  if (aEntry.second.answeredAt) {
-    notice.answeredAge = AgeAt(*aEntry.second.answeredAt, aNow);
+  const auto& [content, entry] = aEntry;
+  CrashNotice notice;
+  notice.content = content;
+  if (entry.answeredAt) {
+    notice.answeredAge = AgeAt(*entry.answeredAt, aNow);
   }
-  for (const auto& it : aEntry.second.runs) {
+  for (const auto& it : entry.runs) {
     notice.runs.push_back(
       { it.server, AgeAt(it.sentAt, aNow), AgeAt(it.endedAt, aNow) });
   }
+  for (const auto& it : entry.unprovenRuns) {
+    notice.unprovenRuns.push_back(
+      { it.server, AgeAt(it.sentAt, aNow), AgeAt(it.endedAt, aNow) });
+  }
+  if (entry.trialUntil) {
+    notice.trialTime = AgeAt(aNow, *entry.trialUntil);
+  }
   return notice;
 }
 
-std::vector<CrashNotice> CrashQuarantine::RecentNotices(TimePoint aNow) const
+std::vector<CrashNotice> CrashQuarantine::RecentNotices(TimePoint aNow,
+                                                        bool aWithUnproven)
 {
-  std::vector<const Table::value_type*> recent;
-  for (const auto& it : mContents) {
-    const auto duration = it.second.runs.size() < mOptions.suspectCrashes
-                            ? mOptions.weakTellDuration
-                            : mOptions.tellDuration;
+  const auto gravity = [](const Table::value_type& aIt) {
+    return std::tuple(aIt.second.runs.size(),
+                      aIt.second.unprovenRuns.size(),
+                      aIt.second.changedAt);
+  };
+  std::vector<Table::value_type*> recent;
+  for (auto& it : mContents) {
+    const auto duration =
+      IsWeak(it.second) ? mOptions.weakTellDuration : mOptions.tellDuration;
     if (aNow - it.second.changedAt < duration) {
       recent.push_back(&it);
     }
   }
   std::sort(
-    recent.begin(), recent.end(), [](const auto* aLeft, const auto* aRight) {
-      return std::pair(aLeft->second.runs.size(), aLeft->second.changedAt) >
-             std::pair(aRight->second.runs.size(), aRight->second.changedAt);
+    recent.begin(), recent.end(), [&](const auto* aLeft, const auto* aRight) {
+      return gravity(*aLeft) > gravity(*aRight);
     });
   std::vector<CrashNotice> notices;
   std::size_t weakCount = 0;
-  for (const auto* it : recent) {
-    if (it->second.runs.size() < mOptions.suspectCrashes &&
-        ++weakCount > mOptions.maxWeakNotices) {
-      break;
-    }
+  for (auto* it : recent) {
     if (notices.size() == mOptions.maxNotices) {
       break;
     }
+    if (IsWeak(it->second) && ++weakCount > mOptions.maxWeakNotices) {
+      continue;
+    }
     notices.push_back(MakeNotice(*it, aNow));
+    if (!aWithUnproven) {
+      notices.back().unprovenRuns.clear();
+    }
+    if (!it->second.trialInProgress) {
+      // Told once: later it might end the trial of another instance.
+      it->second.trialUntil.reset();
+    }
   }
   return notices;
 }
@@ -400,7 +494,7 @@
 {
   std::vector<CrashNotice> notices;
   for (const auto& it : mContents) {
-    if (!it.second.runs.empty() &&
+    if ((!it.second.runs.empty() || !it.second.unprovenRuns.empty()) &&
         VerdictOf(it, aNow) != ContentVerdict::Free) {
       notices.push_back(MakeNotice(it, aNow));
     }
@@ -416,46 +510,4 @@
     }));
 }
 
-std::string EncodeCrashNotices(const std::vector<CrashNotice>& aNotices)
-{
-  json::array rows;
-  for (const auto& notice : aNotices) {
-    json::array row{ ToHex(notice.content), nullptr };
-    if (notice.answeredAge) {
-      row[1] = notice.answeredAge->count();
-    }
-    for (const auto& it : notice.runs) {
-      row.push_back(it.server);
-      row.push_back(it.sentAge.count());
-      row.push_back(it.endedAge.count());
-    }
-    rows.push_back(std::move(row));
-  }
-  return json::serialize(json::object{ { kNoticesKey, std::move(rows) } });
-}
-
-std::optional<std::vector<CrashNotice>> DecodeCrashNotices(
-  std::string_view aText)
-{
-  if (!aText.starts_with('{')) {
-    return std::nullopt;
-  }
-  boost::system::error_code ec;
-  const auto value = json::parse(aText, ec);
-  const auto* root = ec ? nullptr : value.if_object();
-  const auto* rows = root != nullptr ? root->if_contains(kNoticesKey) : nullptr;
-  if (rows == nullptr || !rows->is_array()) {
-    return std::nullopt;
-  }
-  std::vector<CrashNotice> notices;
-  for (const auto& it : rows->get_array()) {
-    auto notice = DecodeNotice(it);
-    if (!notice) {
-      return std::nullopt;
-    }
-    notices.push_back(std::move(*notice));
-  }
-  return notices;
-}
-
 } // namespace bronzedeal::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -91,7 +91,8 @@
 
 ContentPermit ObtainContentPermit(Process& aProcess,
                                   const ContentId& aContent,
-                                  TimePoint aNow)
+                                  TimePoint aNow,
+                                  TimePoint aDeadline)
 {
   auto& quarantine = aProcess.crashQuarantine;
   ContentPermit permit;
@@ -99,7 +100,7 @@
   if (permit.verdict == ContentVerdict::Quarantined) {
     permit.refusedFor = quarantine.TimeUntilTrial(aContent, aNow);
   } else if (permit.verdict == ContentVerdict::Suspect) {
-    permit.trial = quarantine.TryBeginTrial(aContent);
+    permit.trial = quarantine.TryBeginTrial(aContent, aNow, aDeadline);
     if (!permit.trial) {
       permit.refusedFor = kTrialRetryDelay;
     }
@@ -110,6 +111,14 @@
   return permit;
 }
 
+bool IsOverdue(const Attempt& aAttempt,
+               const RoutedRequest& aRequest,
+               TimePoint aNow) noexcept
+{
+  return aAttempt.sent && aNow >= aRequest.deadline - kAnswerMargin &&
+         aNow - aAttempt.sentAt >= aRequest.route->objective;
+}
+
 TimePoint LateResponseDeadline(const RoutedRequest& aRequest,
                                TimePoint aNow) noexcept
 {
--- a/src/gateway/fanout_canary.cpp
+++ b/src/gateway/fanout_canary.cpp
@@ -7,6 +7,13 @@
 
 using std::chrono::steady_clock;
 
+namespace {
+
+/// More lost runs of one query add nothing to the verdict on its content.
+constexpr std::size_t kMaxLostRuns = 4;
+
+} // namespace
+
 bool FanoutExchange::IsHeld() const
 {
   return mCaution.IsOneAtATime() &&
@@ -34,7 +41,8 @@
   if (need == QueryCaution::Need::Nothing) {
     return verdict != ContentVerdict::Quarantined;
   }
-  mPermit = ObtainContentPermit(Process(), *mServerRequest->content, aNow);
+  mPermit = ObtainContentPermit(
+    Process(), *mServerRequest->content, aNow, mRequest.deadline);
   if (!mPermit.refusedFor) {
     return true;
   }
@@ -77,6 +85,38 @@
   return true;
 }
 
+void FanoutExchange::AddLostRun(const ShardAttempt& aAttempt, TimePoint aNow)
+{
+  // Of a part that another instance gathers, that one records the servers.
+  if (aAttempt.attempt && aAttempt.attempt->sent &&
+      !aAttempt.server->Record().isInstance &&
+      mLostRuns.size() < kMaxLostRuns) {
+    mLostRuns.push_back(
+      { aAttempt.server->RunHash(), aAttempt.attempt->sentAt, aNow });
+  }
+}
+
+void FanoutExchange::RecordLostRuns(TimePoint aNow)
+{
+  if (mCaution.IsAnswered()) {
+    return;
+  }
+  for (const auto& shard : mShards) {
+    for (const auto& it : shard.attempts) {
+      if (it.attempt && IsOverdue(*it.attempt, mRequest, aNow)) {
+        AddLostRun(it, aNow);
+      }
+    }
+  }
+  auto& quarantine = Process().crashQuarantine;
+  if (mCaution.IsContentSuspect()) {
+    quarantine.OnUnanswered(*mServerRequest->content, aNow);
+  }
+  for (const auto& it : mLostRuns) {
+    quarantine.OnCut(*mServerRequest->content, it, aNow);
+  }
+}
+
 void FanoutExchange::FinishCut(std::string_view aCause)
 {
   if (mIsPartial || mShards.AnsweredCount() >= mRequiredShards) {
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -86,7 +86,8 @@
   mLatestStart = mRequest.caller.receivedAt +
                  mRequest.route->objective / kStartObjectiveDivisor;
   if (!mPermit.trial) {
-    mPermit = ObtainContentPermit(Process(), *mServerRequest->content, now);
+    mPermit = ObtainContentPermit(
+      Process(), *mServerRequest->content, now, mRequest.deadline);
   }
   if (mPermit.refusedFor) {
     RefuseContent();
@@ -324,8 +325,11 @@
           static_cast<std::int64_t>(
             aResponse != nullptr ? aResponse->result_int() : 0) } });
     const auto now = steady_clock::now();
-    if (aFault == AttemptFault::Broken && !OnCut(aAttemptId, 1, now)) {
-      return;
+    if (aFault == AttemptFault::Broken) {
+      AddLostRun(running, now);
+      if (!OnCut(aAttemptId, 1, now)) {
+        return;
+      }
     }
     TrySend(aShard, now);
   }
@@ -493,9 +497,7 @@
 {
   auto reply = std::exchange(mReply, nullptr);
   const auto now = steady_clock::now();
-  if (mCaution.IsContentSuspect()) {
-    Process().crashQuarantine.OnUnanswered(*mServerRequest->content, now);
-  }
+  RecordLostRuns(now);
   const auto elapsed = now - mRequest.caller.receivedAt;
   if (!mIsPartial) {
     Process().metrics.ObserveQuery(Milliseconds(elapsed) / 1000);
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -121,6 +121,10 @@
   bool OnCut(unsigned aAttemptId, std::size_t aCount, TimePoint aNow);
 
   /// Ends the exchange without sending more, with what was answered.
+  /// Keeps an attempt that its server left without an answer.
+  void AddLostRun(const ShardAttempt& aAttempt, TimePoint aNow);
+  /// Records the attempts without an answer if no shard was answered.
+  void RecordLostRuns(TimePoint aNow);
   void FinishCut(std::string_view aCause);
 
   /// Refuses a content that may not be sent; call only if nothing has been
@@ -278,6 +282,7 @@
   unsigned mDeniedRetries = 0;
   ContentPermit mPermit;
   QueryCaution mCaution;
+  std::vector<LostRun> mLostRuns;
   /// True during the first sends, so that a send that fails at once does not
   /// end the exchange before all shards were sent.
   bool mStarting = false;
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
 
 namespace bronzedeal::gateway {
 
@@ -26,8 +28,12 @@
 /// once when this instance leaves, becomes ready, or loses or regains the
 /// metadata service.
 constexpr std::size_t kImmediateTargetCount = 8;
-/// Keeps a datagram with crash notices below 2 KB.
+/// Keeps a datagram with crash notices below 4 KB.
 constexpr std::size_t kNoticesPerDatagram = 16;
+/// An instance that reaches a smaller part of the servers, in percent, tells
+/// nothing of runs without proof: its links lose them.
+constexpr unsigned kMinTellingReach = 50;
+constexpr unsigned kFullReach = 100;
 
 } // namespace
 
@@ -45,6 +51,7 @@
   mSocket.bind(mProcess.settings.gossipEndpoint);
   mSocket.non_blocking(true);
   mRunning = true;
+  mProcess.crashQuarantine.SetUrgentHandler([this] { TellCrashesSoon(); });
   Receive();
   RunRound();
 }
@@ -52,6 +59,7 @@
 void PeerGossip::Stop()
 {
   mRunning = false;
+  mProcess.crashQuarantine.SetUrgentHandler({});
   error_code ec;
   mSocket.close(ec); // fails only when it is closed already
 }
@@ -152,13 +160,29 @@
   }
   mProcess.metrics.Set(process::Gauge::Quarantined,
                        static_cast<double>(quarantine.QuarantinedCount(aNow)));
-  const bool isUrgent = quarantine.TakeGraver();
-  SendCrashNotices(mProcess.peers.PickTargets(
-                     isUrgent ? kImmediateTargetCount : 1,
-                     isUrgent ? kImmediateTargetCount : aCrossDomainCount,
-                     aNow,
-                     mRandom),
-                   quarantine.RecentNotices(aNow));
+  const bool isUrgent = quarantine.TakeUrgent();
+  SendCrashNotices(
+    mProcess.peers.PickTargets(isUrgent ? kImmediateTargetCount : 1,
+                               isUrgent ? kImmediateTargetCount
+                                        : aCrossDomainCount,
+                               aNow,
+                               mRandom),
+    quarantine.RecentNotices(aNow,
+                             mProcess.peers.Self().reachPercent.value_or(
+                               kFullReach) >= kMinTellingReach));
+}
+
+void PeerGossip::TellCrashesSoon()
+{
+  if (std::exchange(mTellsSoon, true)) {
+    return;
+  }
+  boost::asio::post(mProcess.context, [this] {
+    mTellsSoon = false;
+    if (mRunning) {
+      TellCrashes(0, steady_clock::now());
+    }
+  });
 }
 
 void PeerGossip::SendNow()
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -44,8 +44,10 @@
 
   void Start()
   {
-    mPermit = ObtainContentPermit(
-      Process(), *mServerRequest->content, steady_clock::now());
+    mPermit = ObtainContentPermit(Process(),
+                                  *mServerRequest->content,
+                                  steady_clock::now(),
+                                  mRequest.deadline);
     if (mPermit.refusedFor) {
       Finish(
         RefusedReply("the request has crashed servers", *mPermit.refusedFor),
@@ -78,13 +80,6 @@
     std::shared_ptr<Attempt> attempt;
   };
 
-  /// The time for which a server had the request without an answer.
-  struct Cut
-  {
-    TimePoint sentAt{};
-    TimePoint cutAt{};
-  };
-
   gateway::Process& Process() { return mContext.process; }
 
   [[nodiscard]] bool IsIdempotent() const
@@ -365,7 +360,8 @@
   void AddCut(const RunningAttempt& aRunning, TimePoint aCutAt)
   {
     if (aRunning.attempt && aRunning.attempt->sent) {
-      mCuts.push_back({ aRunning.attempt->sentAt, aCutAt });
+      mCuts.push_back(
+        { aRunning.server->RunHash(), aRunning.attempt->sentAt, aCutAt });
     }
   }
 
@@ -374,11 +370,12 @@
   {
     const auto now = steady_clock::now();
     for (const auto& [id, running] : mAttempts) {
-      AddCut(running, now);
+      if (running.attempt && IsOverdue(*running.attempt, mRequest, now)) {
+        AddCut(running, now);
+      }
     }
     for (const auto& it : mCuts) {
-      Process().crashQuarantine.OnCut(
-        *mServerRequest->content, it.sentAt, it.cutAt);
+      Process().crashQuarantine.OnCut(*mServerRequest->content, it, now);
     }
   }
 
@@ -440,7 +437,8 @@
   ServerList mTriedServers;
   /// Servers whose connection broke and that may have run the request.
   ServerList mPossiblyRunBy;
-  std::vector<Cut> mCuts;
+  /// Runs that servers left without an answer.
+  std::vector<LostRun> mCuts;
   std::optional<CallerReply> mServerFailure;
   unsigned mLastAttemptId = 0;
   unsigned mSendCount = 0;
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -23,6 +23,18 @@
     kContent, { aServer, ended - milliseconds(5), ended }, ended);
 }
 
+/// A server leaves a run without an answer; returns the verdict after that.
+ContentVerdict Cut(CrashQuarantine& aQuarantine,
+                   std::uint32_t aServer,
+                   int aSentMs,
+                   int aCutMs)
+{
+  const auto cut = kStart + milliseconds(aCutMs);
+  aQuarantine.OnCut(
+    kContent, { aServer, kStart + milliseconds(aSentMs), cut }, cut);
+  return aQuarantine.VerdictOf(kContent, cut);
+}
+
 CrashQuarantine MakeQuarantine(const std::string& aInstance = "gw-0")
 {
   return CrashQuarantine(aInstance, CrashQuarantine::Options{});
@@ -49,22 +61,111 @@
             quarantine.VerdictOf(kContent, end + seconds(2)));
 }
 
-// Guards against retries of a content that one server after the other broke
-// off, while nothing proves that these servers have ended.
-TEST(CrashQuarantine, SuspectsAContentThatWasCutTwiceInARow)
+// Guards against retries of a content that servers left without an answer,
+// while nothing proves that these servers have ended.
+TEST(CrashQuarantine, SuspectsAContentThatTwoServersLeftUnanswered)
 {
   auto quarantine = MakeQuarantine();
-  const auto cut = [&](int aSentMs, int aCutMs) {
-    quarantine.OnCut(
-      kContent, kStart + milliseconds(aSentMs), kStart + milliseconds(aCutMs));
-    return quarantine.VerdictOf(kContent, kStart + milliseconds(aCutMs));
-  };
-  EXPECT_EQ(ContentVerdict::Free, cut(0, 10));
-  EXPECT_EQ(ContentVerdict::Free, cut(5, 11)); // ran at the same time
-  EXPECT_EQ(ContentVerdict::Suspect, cut(11, 20));
+  EXPECT_EQ(ContentVerdict::Free, Cut(quarantine, 1, 0, 10));
+  EXPECT_EQ(ContentVerdict::Free, Cut(quarantine, 1, 11, 12));
+  EXPECT_EQ(ContentVerdict::Suspect, Cut(quarantine, 2, 5, 20));
   quarantine.OnAnswered(kContent, kStart + milliseconds(30));
-  EXPECT_EQ(ContentVerdict::Free, cut(30, 40));
-  EXPECT_EQ(ContentVerdict::Suspect, cut(40, 50));
+  EXPECT_EQ(ContentVerdict::Free, Cut(quarantine, 3, 30, 40));
+  EXPECT_EQ(ContentVerdict::Suspect, Cut(quarantine, 4, 40, 50));
+}
+
+// Guards against a content that ends one server after the other while the ends
+// can't be proven for seconds.
+TEST(CrashQuarantine, HoldsAContentThatThreeServersLeftUnanswered)
+{
+  auto quarantine = MakeQuarantine();
+  Cut(quarantine, 1, 0, 10);
+  Cut(quarantine, 2, 10, 20);
+  EXPECT_EQ(ContentVerdict::Quarantined, Cut(quarantine, 3, 20, 30));
+  const auto end = kStart + milliseconds(30) + kServerEndProofTime;
+  EXPECT_EQ(quarantine.TimeUntilTrial(kContent, end - seconds(2)), seconds(2));
+  EXPECT_EQ(ContentVerdict::Quarantined,
+            quarantine.VerdictOf(kContent, end - milliseconds(1)));
+  // Nothing was proven.
+  EXPECT_EQ(ContentVerdict::Free, quarantine.VerdictOf(kContent, end));
+}
+
+// Guards against ends that count twice, once without and once with a proof.
+TEST(CrashQuarantine, CountsARunOnceWhenItsEndIsProven)
+{
+  auto quarantine = MakeQuarantine();
+  Crash(quarantine, 1, 10);
+  Cut(quarantine, 1, 5, 11);
+  Cut(quarantine, 2, 12, 20);
+  Crash(quarantine, 2, 20);
+  EXPECT_EQ(ContentVerdict::Suspect,
+            quarantine.VerdictOf(kContent, kStart + milliseconds(20)));
+}
+
+// Guards against instances that each need three runs without an answer of their
+// own, and against one content that runs at all instances at the same time.
+RC_GTEST_PROP(CrashQuarantine, SharesRunsWithoutAnAnswerAndTrials, ())
+{
+  constexpr std::size_t kInstances = 5;
+  std::vector<CrashQuarantine> fleet;
+  for (std::size_t n = 0; n < kInstances; ++n) {
+    fleet.push_back(MakeQuarantine("gw-" + std::to_string(n)));
+  }
+  auto now = kStart;
+  std::uint32_t sendCount = 0;
+  for (int n = 0; n < 20; ++n) {
+    now += milliseconds(*rc::gen::inRange(1, 400));
+    auto& instance = fleet[*rc::gen::inRange<std::size_t>(0, kInstances)];
+    const auto tell = [&] {
+      const auto notices =
+        DecodeCrashNotices(EncodeCrashNotices(instance.RecentNotices(now)));
+      RC_ASSERT(notices.has_value());
+      now += milliseconds(1);
+      for (auto& other : fleet) {
+        if (&other != &instance) {
+          other.Merge(*notices, now);
+        }
+      }
+    };
+    const auto verdict = instance.VerdictOf(kContent, now);
+    std::shared_ptr<void> trial;
+    if (verdict == ContentVerdict::Suspect) {
+      trial = instance.TryBeginTrial(kContent, now, now + seconds(8));
+      tell();
+      for (auto& other : fleet) {
+        RC_ASSERT(&other == &instance ||
+                  other.TryBeginTrial(kContent, now, now + seconds(8)) ==
+                    nullptr);
+      }
+    }
+    if (verdict != ContentVerdict::Quarantined && (trial || sendCount < 2)) {
+      const auto sentAt = now;
+      now += milliseconds(*rc::gen::inRange(1, 2000));
+      instance.OnCut(kContent, { ++sendCount, sentAt, now }, now);
+    }
+    trial.reset();
+    tell();
+  }
+  RC_ASSERT(sendCount <= 3U);
+}
+
+// Guards against a trial that blocks others after it has ended, and against a
+// late notice that ends the trial of another instance.
+TEST(CrashQuarantine, TellsTheEndOfATrialOnce)
+{
+  auto first = MakeQuarantine();
+  auto second = MakeQuarantine("gw-1");
+  Cut(first, 1, 0, 10);
+  Cut(first, 2, 0, 10);
+  const auto now = kStart + milliseconds(20);
+  auto trial = first.TryBeginTrial(kContent, now, now + seconds(8));
+  second.Merge(first.RecentNotices(now), now);
+  EXPECT_EQ(second.TryBeginTrial(kContent, now, now), nullptr);
+  trial.reset();
+  second.Merge(first.RecentNotices(now), now);
+  trial = second.TryBeginTrial(kContent, now, now + seconds(8));
+  EXPECT_NE(trial, nullptr);
+  EXPECT_FALSE(first.RecentNotices(now).front().trialTime);
 }
 
 // Guards against contents of different requests that count as one.
@@ -87,8 +188,8 @@
   Crash(quarantine, 1, 0);
   EXPECT_EQ(quarantine.VerdictOf(kContent, kStart), ContentVerdict::Free);
   Crash(quarantine, 2, 100);
-  EXPECT_TRUE(quarantine.TakeGraver());
-  EXPECT_FALSE(quarantine.TakeGraver());
+  EXPECT_TRUE(quarantine.TakeUrgent());
+  EXPECT_FALSE(quarantine.TakeUrgent());
   const auto later = kStart + seconds(1);
   EXPECT_EQ(quarantine.VerdictOf(kContent, later), ContentVerdict::Suspect);
   Crash(quarantine, 3, 900);
@@ -101,14 +202,18 @@
 TEST(CrashQuarantine, AllowsOneTrialOfASuspectContentAtATime)
 {
   auto quarantine = MakeQuarantine();
-  EXPECT_EQ(quarantine.TryBeginTrial(kContent), nullptr);
+  const auto begin = [&] {
+    return quarantine.TryBeginTrial(
+      kContent, kStart + seconds(1), kStart + seconds(2));
+  };
+  EXPECT_EQ(begin(), nullptr);
   Crash(quarantine, 1, 0);
   Crash(quarantine, 2, 100);
-  auto trial = quarantine.TryBeginTrial(kContent);
+  auto trial = begin();
   EXPECT_NE(trial, nullptr);
-  EXPECT_EQ(quarantine.TryBeginTrial(kContent), nullptr);
+  EXPECT_EQ(begin(), nullptr);
   trial.reset();
-  EXPECT_NE(quarantine.TryBeginTrial(kContent), nullptr);
+  EXPECT_NE(begin(), nullptr);
 }
 
 // Guards against contents that are refused for ever, and against a fleet whose
@@ -279,7 +384,14 @@
                             "{\"crashes\":[[\"00112233445566778899aabbccddeeff"
                             "\",null,1,-2,3]]}",
                             "{\"crashes\":[[\"00112233445566778899aabbccddeeff"
-                            "\",1e300,1,2,3]]}" }) {
+                            "\",1e300,1,2,3]]}",
+                            "{\"crashes\":[],\"unproven\":7}",
+                            "{\"crashes\":[],\"unproven\":[[\"00\"]]}",
+                            "{\"crashes\":[],\"unproven\":[[\"00112233445566"
+                            "778899aabbccddeeff\",1,2]]}",
+                            "{\"crashes\":[],\"trials\":[[]]}",
+                            "{\"crashes\":[],\"trials\":[[\"00112233445566778"
+                            "899aabbccddeeff\",-1]]}" }) {
     EXPECT_FALSE(DecodeCrashNotices(text)) << text;
   }
 }
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -25,6 +25,32 @@
 
 } // namespace
 
+// Guards against answers that clear a content although no server has run it.
+TEST(ProvesRun, HoldsForSignedAnswersThatAreNoFailures)
+{
+  const auto proves = [](unsigned aStatus,
+                         const std::string& aSignature,
+                         const std::string& aPartSignatures = "",
+                         const std::string& aMissing = "") {
+    const HeaderNames names;
+    ResponseMessage response;
+    response.result(aStatus);
+    response.set(names.signature, aSignature);
+    response.set(names.partSignatures, aPartSignatures);
+    response.set(names.missingShards, aMissing);
+    return ProvesRun(response, names);
+  };
+  EXPECT_TRUE(proves(200, "s"));
+  EXPECT_TRUE(proves(404, "s"));
+  EXPECT_TRUE(proves(200, "", "s, t", "0"));
+  EXPECT_TRUE(proves(200, "", "s, t"));
+  EXPECT_FALSE(proves(200, "", "s, t", "1"));
+  EXPECT_FALSE(proves(200, ""));
+  for (const auto status : { 408U, 421U, 429U, 500U, 502U, 503U, 504U }) {
+    EXPECT_FALSE(proves(status, "s")) << status;
+  }
+}
+
 // Guards against requests that reach a server with a changed path or without
 // the id of the intended server.
 TEST(SingleExchange, ForwardsTheRequestUnchanged)
