Refuse an unknown content after one lost run while other domains aren't heard of

Callers saw a content run at one failure domain after the other when instances of different domains can't hear of each other: each domain needed three ends of its own for a verdict.

Cause: the number of runs that a verdict takes was the same whatever an instance can know of others. The bound on sends after the third crash is one for all, so with three domains apart from each other, each may add one at most.

Change: an instance that hears of no instance in another failure domain, while servers are there, refuses a content after the first lost run until it hears of one. Contents that were answered here lately (8,192 are remembered) are exempt: refusing a popular content for the end of one server would harm more callers. The caller may return after 1 s.

Not covered: more than four parts that can't hear of each other; each may still send once.

--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -60,6 +60,7 @@
 #include "bronzedeal/gateway/rate_limit.hpp"
 #include "bronzedeal/gateway/rate_shares.hpp"
 #include "bronzedeal/gateway/reach_view.hpp"
+#include "bronzedeal/gateway/recent_contents.hpp"
 #include "bronzedeal/gateway/record_merge.hpp"
 #include "bronzedeal/gateway/relay_message.hpp"
 #include "bronzedeal/gateway/relayed_source.hpp"
--- a/include/bronzedeal/gateway/crash_quarantine.hpp
+++ b/include/bronzedeal/gateway/crash_quarantine.hpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/gateway/content_id.hpp"
 #include "bronzedeal/gateway/crash_notice.hpp"
 #include "bronzedeal/gateway/cut_runs.hpp"
+#include "bronzedeal/gateway/recent_contents.hpp"
 #include "bronzedeal/types.hpp"
 
 #include <cstdint>
@@ -80,6 +81,11 @@
 /// time of the proof; two servers that left the content unanswered at the same
 /// time make it suspect, too.
 ///
+/// An instance that hears of no instance in other failure domains doesn't know
+/// how many servers the content has ended there. What all of them may still
+/// send has to stay within one bound, so a content that was never answered here
+/// is quarantined after the first lost run, until there is news.
+///
 /// An answer that proves a run clears the content, since a crashing one gets
 /// none. An error proves nothing: a server may fail requests that it hasn't
 /// begun to run.
@@ -93,6 +99,14 @@
     /// Number of servers that ended one after the other.
     unsigned suspectCrashes = 2;
     unsigned quarantineCrashes = 3;
+    /// The same for a content that was never answered here, while this instance
+    /// hears of no instance in other failure domains.
+    unsigned isolatedCrashes = 1;
+    /// Number of contents whose last answers are remembered.
+    std::size_t answeredContents = 8192;
+    /// Time after which a caller may return if its content is quarantined for
+    /// lack of news from others.
+    Duration isolatedReturnDelay = std::chrono::seconds(1);
     /// A content that is not quarantined is forgotten so long after its last
     /// crash or answer.
     Duration memory = std::chrono::minutes(5);
@@ -160,6 +174,9 @@
   /// Adopts what another instance knows.
   void Merge(const std::vector<CrashNotice>& aNotices, TimePoint aNow);
 
+  /// Tells whether this instance hears of no instance in other failure domains.
+  void SetIsolated(bool aIsolated) noexcept { mIsIsolated = aIsolated; }
+
   /// True if something has happened since the last call that others should be
   /// told at once: a verdict that has become graver, or that an answer has
   /// ended, or a trial.
@@ -199,10 +216,6 @@
     /// The same of another instance's.
     TimePoint otherTrialUntil{};
   };
-  struct ContentHash
-  {
-    std::size_t operator()(const ContentId& aContent) const noexcept;
-  };
   using Table = std::unordered_map<ContentId, Entry, ContentHash>;
 
   [[nodiscard]] ContentVerdict VerdictOf(const Table::value_type& aEntry,
@@ -222,6 +235,8 @@
   [[nodiscard]] std::size_t CountLostRuns(const Entry& aEntry) const;
   /// True while runs without proof count.
   [[nodiscard]] bool AwaitsProof(const Entry& aEntry, TimePoint aNow) const;
+  /// Number of lost runs from which on the content is quarantined.
+  [[nodiscard]] std::size_t MaxLostRuns(const ContentId& aContent) const;
   [[nodiscard]] bool IsWeak(const Entry& aEntry) const;
   void EndTrial(const ContentId& aContent);
   /// Marks a change that others should be told at once.
@@ -236,6 +251,8 @@
   Options mOptions;
   ChangeHandler mOnChange;
   Table mContents;
+  RecentContents mAnswered;
+  bool mIsIsolated = false;
   std::function<void()> mOnUrgent;
   bool mIsUrgent = false;
 };
--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -132,6 +132,9 @@
   /// Number of known servers.
   [[nodiscard]] std::size_t size() const noexcept { return mById.size(); }
 
+  /// True if a server is in another failure domain than this one.
+  [[nodiscard]] bool HasServerOutside(const FailureDomain& aDomain) const;
+
   /// Fraction (0 to 1) of the table's shards that have an available server in
   /// the failure domain; 1 if the table has no shards.
   [[nodiscard]] double LocalCoverage(const RouteTable& aTable,
--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -81,6 +81,7 @@
   : mInstance(std::move(aInstance))
   , mOptions(aOptions)
   , mOnChange(std::move(aOnChange))
+  , mAnswered(aOptions.answeredContents)
 {
 }
 
@@ -99,12 +100,6 @@
   }
 }
 
-std::size_t CrashQuarantine::ContentHash::operator()(
-  const ContentId& aContent) const noexcept
-{
-  return XXH3_64bits(aContent.data(), aContent.size());
-}
-
 ContentVerdict CrashQuarantine::VerdictOf(const ContentId& aContent,
                                           TimePoint aNow) const
 {
@@ -119,11 +114,11 @@
   if (IsOutdated(aEntry, aNow)) {
     return ContentVerdict::Free;
   }
-  const bool isProven = entry.runs.size() >= mOptions.quarantineCrashes &&
+  const auto maxLostRuns = MaxLostRuns(content);
+  const bool isProven = entry.runs.size() >= maxLostRuns &&
                         aNow < entry.runs.back().endedAt + HoldOf(content);
   const bool awaitsProof = AwaitsProof(entry, aNow);
-  if (isProven ||
-      (awaitsProof && CountLostRuns(entry) >= mOptions.quarantineCrashes)) {
+  if (isProven || (awaitsProof && CountLostRuns(entry) >= maxLostRuns)) {
     return ContentVerdict::Quarantined;
   }
   const bool isSuspect =
@@ -134,6 +129,13 @@
   return isSuspect ? ContentVerdict::Suspect : ContentVerdict::Free;
 }
 
+std::size_t CrashQuarantine::MaxLostRuns(const ContentId& aContent) const
+{
+  return mIsIsolated && !mAnswered.Contains(aContent)
+           ? mOptions.isolatedCrashes
+           : mOptions.quarantineCrashes;
+}
+
 std::size_t CrashQuarantine::CountLostRuns(const Entry& aEntry) const
 {
   auto runs = aEntry.runs;
@@ -168,6 +170,9 @@
     return Duration::zero();
   }
   const auto& entry = it->second;
+  if (mIsIsolated && CountLostRuns(entry) < mOptions.quarantineCrashes) {
+    return mOptions.isolatedReturnDelay;
+  }
   auto until = aNow;
   if (entry.runs.size() >= mOptions.quarantineCrashes) {
     until = entry.runs.back().endedAt + HoldOf(aContent);
@@ -340,6 +345,7 @@
 
 void CrashQuarantine::OnAnswered(const ContentId& aContent, TimePoint aNow)
 {
+  mAnswered.Add(aContent);
   if (const auto it = mContents.find(aContent); it != mContents.end()) {
     Apply(*it, VerdictCause::Answered, aNow, [&](Entry& aEntry) {
       AddAnswer(aEntry, aNow, aNow);
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -344,6 +344,7 @@
     process.rateShares.Update(MakeFleetView(
       process.peers.AliveInstances(now), serving, process.settings.instance));
     process.peers.Self().serving = process.fleetShares.IsServing();
+    process.crashQuarantine.SetIsolated(IsIsolated(now));
     gateway.Peers().Update(process.peers.InstancesWithMetadata(now));
     gateway.UpdateReach(process.peers.InstancesWithMetadata(now), now);
     if (process.fleetShares.Divisor() != previousDivisor) {
@@ -356,6 +357,18 @@
     }
   }
 
+  /// True if there are servers in other failure domains, but no instance that
+  /// this one hears of.
+  [[nodiscard]] bool IsIsolated(TimePoint aNow) const
+  {
+    const auto& own = process.settings.failureDomain;
+    const auto alive = process.peers.AliveInstances(aNow);
+    return servers.HasServerOutside(own) &&
+           std::all_of(alive.begin(), alive.end(), [&](const auto& aIt) {
+             return aIt.failureDomain == own;
+           });
+  }
+
   /// True if no known instance is much stronger than this one.
   [[nodiscard]] bool IsStrongAmongKnown(TimePoint aNow) const
   {
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -527,4 +527,11 @@
     aTable, [&](const auto& aIt) { return IsAvailable(*aIt, aNow); });
 }
 
+bool ServerRegistry::HasServerOutside(const FailureDomain& aDomain) const
+{
+  return std::any_of(mById.begin(), mById.end(), [&](const auto& aIt) {
+    return aIt.second->Record().failureDomain != aDomain;
+  });
+}
+
 } // namespace bronzedeal::gateway
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -168,6 +168,50 @@
   EXPECT_FALSE(first.RecentNotices(now).front().trialTime);
 }
 
+// Guards against a failure domain that runs a crashing content as often as if
+// nothing had happened in the domains that it can't hear of.
+TEST(CrashQuarantine, RefusesAnUnknownContentAfterOneRunWhileIsolated)
+{
+  auto quarantine = MakeQuarantine();
+  quarantine.SetIsolated(true);
+  EXPECT_EQ(ContentVerdict::Quarantined, Cut(quarantine, 1, 0, 10));
+  const auto now = kStart + milliseconds(10);
+  EXPECT_EQ(quarantine.TimeUntilTrial(kContent, now), seconds(1));
+  Crash(quarantine, 1, 10);
+  EXPECT_EQ(ContentVerdict::Quarantined,
+            quarantine.VerdictOf(kContent, now + minutes(1)));
+  quarantine.SetIsolated(false);
+  EXPECT_EQ(ContentVerdict::Free, quarantine.VerdictOf(kContent, now));
+}
+
+// Guards against popular contents that are refused after the end of one server
+// while other failure domains can't be heard of.
+TEST(CrashQuarantine, ServesAnAnsweredContentWhileIsolated)
+{
+  auto quarantine = MakeQuarantine();
+  quarantine.SetIsolated(true);
+  quarantine.OnAnswered(kContent, kStart - seconds(1));
+  EXPECT_EQ(ContentVerdict::Free, Cut(quarantine, 1, 0, 10));
+  EXPECT_EQ(ContentVerdict::Suspect, Cut(quarantine, 2, 10, 20));
+}
+
+// Guards against memory that grows with each content.
+TEST(RecentContents, KeepsABoundedNumber)
+{
+  constexpr std::size_t kCapacity = 8;
+  RecentContents contents(kCapacity);
+  const auto nth = [](int aNumber) {
+    return ContentIdOf("GET", "a", "/" + std::to_string(aNumber), "");
+  };
+  for (int n = 0; n < 100; ++n) {
+    contents.Add(nth(n));
+    EXPECT_LE(contents.size(), kCapacity);
+    EXPECT_TRUE(contents.Contains(nth(n)));
+    EXPECT_TRUE(n < 3 || contents.Contains(nth(n - 3)));
+  }
+  EXPECT_FALSE(contents.Contains(nth(0)));
+}
+
 // Guards against contents of different requests that count as one.
 TEST(ContentId, TellsThePartsOfARequestApart)
 {
