Tell each content of an ended server, not the same four in each round

A crash could stay unknown to all other instances: a server that ends cuts all contents that it is running, and of those with a single crash each round told the same four, for two seconds. The content that had ended the server was one of many.

Change: contents that are alike in gravity are told by turns. Bytes a round stay as they were.

CrashQuarantine.TellsEachContentOfAnEndedServer: 4 of 10 contents told after three rounds before, 10 now.

--- a/include/bronzedeal/gateway/crash_quarantine.hpp
+++ b/include/bronzedeal/gateway/crash_quarantine.hpp
@@ -203,6 +203,12 @@
 private:
   struct Entry
   {
+    void MarkChanged(TimePoint aNow) noexcept
+    {
+      changedAt = aNow;
+      toldCount = 0;
+    }
+
     /// Runs one after the other, in order of time; at most `kMaxRuns`.
     std::vector<LostRun> runs;
     /// Runs without an answer, in order of time; at most `kMaxRuns`.
@@ -210,6 +216,8 @@
     std::optional<TimePoint> answeredAt;
     TimePoint unansweredUntil{};
     TimePoint changedAt{};
+    /// Rounds that have told the last change.
+    unsigned toldCount = 0;
     bool trialInProgress = false;
     /// End of the trial of this instance, at the latest.
     std::optional<TimePoint> trialUntil;
--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -225,7 +225,7 @@
   auto& entry = it->second;
   entry.trialInProgress = true;
   entry.trialUntil = aDeadline;
-  entry.changedAt = aNow;
+  entry.MarkChanged(aNow);
   SetUrgent();
   return std::shared_ptr<void>(this,
                                [this, aContent](void*) { EndTrial(aContent); });
@@ -282,7 +282,7 @@
     runs.erase(runs.begin());
   }
   if (HasServer(runs, aRun.server)) {
-    aEntry.changedAt = aNow;
+    aEntry.MarkChanged(aNow);
   }
   mIsUrgent = mIsUrgent || (runs.size() > formerCount &&
                             runs.size() >= mOptions.suspectCrashes);
@@ -312,7 +312,7 @@
       });
     runs.erase(overlapping == runs.end() ? runs.begin() : overlapping);
   }
-  aEntry.changedAt = aNow;
+  aEntry.MarkChanged(aNow);
   aEntry.otherTrialUntil = TimePoint{};
   mIsUrgent = mIsUrgent || runs.size() >= mOptions.suspectCrashes;
 }
@@ -373,7 +373,7 @@
   const auto clearedCount = std::erase_if(aEntry.runs, isBefore) +
                             std::erase_if(aEntry.unprovenRuns, isBefore);
   if (clearedCount > 0) {
-    aEntry.changedAt = aNow;
+    aEntry.MarkChanged(aNow);
     mIsUrgent = mIsUrgent || !wasWeak;
   }
 }
@@ -422,13 +422,17 @@
   if (mContents.size() < mOptions.maxContents) {
     return;
   }
-  const auto least = std::min_element(
-    mContents.begin(),
-    mContents.end(),
-    [](const auto& aLeft, const auto& aRight) {
-      return std::pair(aLeft.second.runs.size(), aLeft.second.changedAt) <
-             std::pair(aRight.second.runs.size(), aRight.second.changedAt);
-    });
+  const auto least =
+    std::min_element(mContents.begin(),
+                     mContents.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       const auto value = [](const Entry& aEntry) {
+                         return std::tuple(aEntry.runs.size(),
+                                           aEntry.unprovenRuns.size(),
+                                           aEntry.changedAt);
+                       };
+                       return value(aLeft.second) < value(aRight.second);
+                     });
   mContents.erase(least);
 }
 
@@ -458,10 +462,21 @@
 std::vector<CrashNotice> CrashQuarantine::RecentNotices(TimePoint aNow,
                                                         bool aWithUnproven)
 {
-  const auto gravity = [](const Table::value_type& aIt) {
-    return std::tuple(aIt.second.runs.size(),
-                      aIt.second.unprovenRuns.size(),
-                      aIt.second.changedAt);
+  // Of contents that are alike in gravity, those come first that were told
+  // least often.
+  const auto isBefore = [this](const auto* aLeft, const auto* aRight) {
+    const auto& left = aLeft->second;
+    const auto& right = aRight->second;
+    if (IsWeak(left) != IsWeak(right)) {
+      return IsWeak(right);
+    }
+    if (left.toldCount != right.toldCount) {
+      return left.toldCount < right.toldCount;
+    }
+    return std::tuple(
+             left.runs.size(), left.unprovenRuns.size(), left.changedAt) >
+           std::tuple(
+             right.runs.size(), right.unprovenRuns.size(), right.changedAt);
   };
   std::vector<Table::value_type*> recent;
   for (auto& it : mContents) {
@@ -471,10 +486,7 @@
       recent.push_back(&it);
     }
   }
-  std::sort(
-    recent.begin(), recent.end(), [&](const auto* aLeft, const auto* aRight) {
-      return gravity(*aLeft) > gravity(*aRight);
-    });
+  std::sort(recent.begin(), recent.end(), isBefore);
   std::vector<CrashNotice> notices;
   std::size_t weakCount = 0;
   for (auto* it : recent) {
@@ -482,8 +494,9 @@
       break;
     }
     if (IsWeak(it->second) && ++weakCount > mOptions.maxWeakNotices) {
-      continue;
+      break;
     }
+    ++it->second.toldCount;
     notices.push_back(MakeNotice(*it, aNow));
     if (!aWithUnproven) {
       notices.back().unprovenRuns.clear();
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -394,6 +394,39 @@
   RC_ASSERT(other.VerdictOf(kContent, now) == ContentVerdict::Quarantined);
 }
 
+// Guards against a crash that others never hear of, because the same server ran
+// more contents when it ended than a round tells.
+TEST(CrashQuarantine, TellsEachContentOfAnEndedServer)
+{
+  constexpr int kContents = 10;
+  auto quarantine = MakeQuarantine();
+  auto other = MakeQuarantine("gw-1");
+  for (int n = 0; n < kContents; ++n) {
+    quarantine.OnServerEnded(
+      ContentIdOf("GET", "a", "/" + std::to_string(n), ""),
+      { 1, kStart - milliseconds(5), kStart },
+      kStart);
+  }
+  for (int round = 0; round < 3; ++round) {
+    const auto now = kStart + round * milliseconds(300);
+    other.Merge(quarantine.RecentNotices(now), now);
+  }
+  EXPECT_EQ(other.size(), static_cast<std::size_t>(kContents));
+}
+
+// Guards against the run that matters being left out: a server that ended may
+// have had the content twice, once since before the end of another server.
+TEST(CrashQuarantine, CountsTheLatestRunOfAServer)
+{
+  auto quarantine = MakeQuarantine();
+  Crash(quarantine, 1, 100);
+  const auto ended = kStart + milliseconds(200);
+  quarantine.OnServerEnded(kContent, { 2, kStart, ended }, ended);
+  EXPECT_EQ(quarantine.OnServerEnded(
+              kContent, { 2, kStart + milliseconds(150), ended }, ended),
+            2U);
+}
+
 // Guards against a table that grows with each content, and against proven
 // contents that give way to single crashes.
 TEST(CrashQuarantine, IsBoundedAndKeepsWhatIsProven)
