Remember a run that had no answer when its caller left

Callers that leave before their deadline hid a content that ends servers silently: their requests ended without a trace, so no run was ever known as lost and no end of a server was tied to the content.

Cause: SingleExchange::Cancel and FanoutExchange::Cancel recorded nothing, and an attempt that is detached is closed 250 ms later as unneeded, which isn't a cut.

Change: a run that its server had for longer than the objective when the caller left counts like one at the deadline, for the verdict without proof and for the proof. CutRuns keeps a run once.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -141,6 +141,9 @@
   /// is open again.
   [[nodiscard]] bool IsReachable() const noexcept;
 
+  /// Records a sent attempt whose request ends without an answer.
+  void OnUnanswered(const Attempt& aAttempt, TimePoint aNow);
+
   /// Tells the runs of servers apart; a restarted server may have the same id.
   [[nodiscard]] std::uint32_t RunHash() const noexcept;
 
--- a/include/bronzedeal/gateway/cut_runs.hpp
+++ b/include/bronzedeal/gateway/cut_runs.hpp
@@ -37,7 +37,7 @@
   };
 
   /// Records a request whose connection broke off, or which the server has not
-  /// answered by the deadline.
+  /// answered by the deadline or until its caller left.
   void Add(const Run& aRun);
 
   /// The server has answered a request that was sent at `aSentAt`: it has not
--- a/include/bronzedeal/gateway/exchange.hpp
+++ b/include/bronzedeal/gateway/exchange.hpp
@@ -106,11 +106,20 @@
 [[nodiscard]] TimePoint LateResponseDeadline(const RoutedRequest& aRequest,
                                              TimePoint aNow) noexcept;
 
+/// Why a request ends while attempts are in progress.
+enum class UnansweredEnd
+{
+  /// Its time is over, or the instance stops.
+  Concluded,
+  CallerLeft,
+};
+
 /// True if an attempt that is in progress when its request ends should have
-/// been answered: the deadline has passed, and the server had the objective's
-/// time.
+/// been answered: the server had the objective's time, and this instance
+/// doesn't end the request before its deadline.
 [[nodiscard]] bool IsOverdue(const Attempt& aAttempt,
                              const RoutedRequest& aRequest,
+                             UnansweredEnd aEnd,
                              TimePoint aNow) noexcept;
 
 /// Sends the request to one server of the group, and retries or hedges on
--- a/src/gateway/backend_server_evidence.cpp
+++ b/src/gateway/backend_server_evidence.cpp
@@ -97,6 +97,11 @@
   }
 }
 
+void BackendServer::OnUnanswered(const Attempt& aAttempt, TimePoint aNow)
+{
+  AddCutRun(aAttempt, false, aNow);
+}
+
 void BackendServer::AddCutRun(const Attempt& aAttempt,
                               bool aBrokeOff,
                               TimePoint aNow)
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -113,9 +113,12 @@
 
 bool IsOverdue(const Attempt& aAttempt,
                const RoutedRequest& aRequest,
+               UnansweredEnd aEnd,
                TimePoint aNow) noexcept
 {
-  return aAttempt.sent && aNow >= aRequest.deadline - kAnswerMargin &&
+  const bool isOver = aEnd == UnansweredEnd::CallerLeft ||
+                      aNow >= aRequest.deadline - kAnswerMargin;
+  return isOver && aAttempt.sent &&
          aNow - aAttempt.sentAt >= aRequest.route->objective;
 }
 
--- a/src/gateway/fanout_canary.cpp
+++ b/src/gateway/fanout_canary.cpp
@@ -96,15 +96,16 @@
   }
 }
 
-void FanoutExchange::RecordLostRuns(TimePoint aNow)
+void FanoutExchange::RecordLostRuns(UnansweredEnd aEnd, TimePoint aNow)
 {
   if (mCaution.IsAnswered()) {
     return;
   }
   for (const auto& shard : mShards) {
     for (const auto& it : shard.attempts) {
-      if (it.attempt && IsOverdue(*it.attempt, mRequest, aNow)) {
+      if (it.attempt && IsOverdue(*it.attempt, mRequest, aEnd, aNow)) {
         AddLostRun(it, aNow);
+        it.server->OnUnanswered(*it.attempt, aNow);
       }
     }
   }
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -151,6 +151,7 @@
   mReply = nullptr;
   Process().metrics.Add(process::Counter::CallersLeft);
   const auto now = steady_clock::now();
+  RecordLostRuns(UnansweredEnd::CallerLeft, now);
   // The gathering instance grants its attempts the time to finish, so its
   // connection closes at once: the time counts once for all hops.
   DetachBatches(now);
@@ -497,7 +498,7 @@
 {
   auto reply = std::exchange(mReply, nullptr);
   const auto now = steady_clock::now();
-  RecordLostRuns(now);
+  RecordLostRuns(UnansweredEnd::Concluded, now);
   const auto elapsed = now - mRequest.caller.receivedAt;
   if (!mIsPartial) {
     Process().metrics.ObserveQuery(Milliseconds(elapsed) / 1000);
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -124,7 +124,7 @@
   /// Keeps an attempt that its server left without an answer.
   void AddLostRun(const ShardAttempt& aAttempt, TimePoint aNow);
   /// Records the attempts without an answer if no shard was answered.
-  void RecordLostRuns(TimePoint aNow);
+  void RecordLostRuns(UnansweredEnd aEnd, TimePoint aNow);
   void FinishCut(std::string_view aCause);
 
   /// Refuses a content that may not be sent; call only if nothing has been
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -70,6 +70,7 @@
   {
     mReply = nullptr;
     Process().metrics.Add(process::Counter::CallersLeft);
+    RecordCuts(UnansweredEnd::CallerLeft);
     Stop();
   }
 
@@ -341,10 +342,10 @@
       return;
     }
     if (mServerFailure) {
-      RecordCuts();
+      RecordCuts(UnansweredEnd::Concluded);
       Finish(std::move(*mServerFailure), aCause);
     } else if (mMayHaveRunCount > 0 && !NoAttemptSent()) {
-      RecordCuts();
+      RecordCuts(UnansweredEnd::Concluded);
       Finish(mAttempts.empty() ? TextReply(502, "the server broke off")
                                : TextReply(504, "no server answered in time"),
              aCause);
@@ -366,12 +367,13 @@
   }
 
   /// Records that no server has proven to have run the request to its end.
-  void RecordCuts()
+  void RecordCuts(UnansweredEnd aEnd)
   {
     const auto now = steady_clock::now();
     for (const auto& [id, running] : mAttempts) {
-      if (running.attempt && IsOverdue(*running.attempt, mRequest, now)) {
+      if (running.attempt && IsOverdue(*running.attempt, mRequest, aEnd, now)) {
         AddCut(running, now);
+        running.server->OnUnanswered(*running.attempt, now);
       }
     }
     for (const auto& it : mCuts) {
--- a/tests/platform/crashing_test_case.py
+++ b/tests/platform/crashing_test_case.py
@@ -13,6 +13,9 @@
 LENGTH_S = 14.0
 PAUSE_S = 0.25
 INNOCENT_CALLERS = 6
+# The store drops the entry of a silent server after three heartbeats of 1.2 s,
+# the first of which may be up to one old, and tells this up to 0.8 s later.
+LAPSE_S = 5.4
 
 
 class CrashingTestCase(WorldTestCase):
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -886,11 +886,11 @@
         return False
 
     def call(self, kind, instance=None, connection=None, address=None,
-             target=None):
+             target=None, patience_s=None):
         """Sends a caller's request and records it and its answer.
 
         Each request has a path and a body of its own, unless `target` gives the
-        path.
+        path. With `patience_s`, the caller leaves after that time.
         """
         with self.history.lock:
             self.count += 1
@@ -903,7 +903,7 @@
         answer = ask(address or instance.address("front"), path, method,
                      {"Host": "shop.example", "Request-Id": ident,
                       "Request-Deadline": str(self.timeout_ms)}, body,
-                     self.timeout_ms / 1000 + 1.5, connection)
+                     patience_s or self.timeout_ms / 1000 + 1.5, connection)
         self.history.add("answer", id=ident, request=kind, path=path,
                          status=answer.status, body=answer.body,
                          headers={k.lower(): v for k, v in
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -6,13 +6,9 @@
 import time
 import unittest
 
-from crashing_test_case import LENGTH_S, CrashingTestCase
+from crashing_test_case import LAPSE_S, LENGTH_S, CrashingTestCase
 from world_test_case import WorldTestCase
 
-# The store drops the entry of a silent server after three heartbeats of 1.2 s,
-# the first of which may be up to one old, and tells this up to 0.8 s later.
-LAPSE_S = 5.4
-
 
 class CrashingRequestTest(CrashingTestCase):
     def test_stops_sending_an_idempotent_request_that_crashes_servers(self):
--- a/tests/platform/test_crashing_request_verdict.py
+++ b/tests/platform/test_crashing_request_verdict.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from crashing_test_case import LENGTH_S, CrashingTestCase
+from crashing_test_case import LAPSE_S, LENGTH_S, CrashingTestCase
 
 # In all above `contact-ms`, so that what the second and the third failure domain
 # send counts.
@@ -36,6 +36,30 @@
         self.play_beside_failures("write", 200)
 
 
+class LeavingCallersTest(CrashingTestCase):
+    def play_with_leaving_callers(self, kind, target, groups):
+        """Servers fall silent, and callers leave before their deadline."""
+        for it in self.world.servers:
+            it.down_s, it.lapse_s, it.ends_silently = 3.0, LAPSE_S, True
+        self.crash_on(target, groups)
+        end = time.monotonic() + 2 * LENGTH_S
+        while time.monotonic() < end:
+            for it in self.world.instances:
+                self.world.call(kind, it, target=target, patience_s=0.8)
+                time.sleep(CALL_PAUSE_S)
+        self.assert_no_longer_sent(target)
+        self.assert_no_violations()
+
+    def test_stops_sending_requests_whose_callers_leave(self):
+        """Guards against runs that are forgotten when their caller leaves."""
+        self.play_with_leaving_callers("write", "/write/crashing", ["ledger"])
+
+    def test_stops_sending_queries_whose_callers_leave(self):
+        """Guards against the same with a query, which crashes each shard."""
+        target = "/all/crashing"
+        self.play_with_leaving_callers("all", target, self.world.shards)
+
+
 class SeparateFailureDomainsTest(CrashingTestCase):
     instances = 6
 
