Mark an attempt as unanswered where it is kept, so that it is counted once

CutRuns.TakesARefusalForAnEndOnlyWhileLinksWork failed on: CutRuns skipped a run that it knew and left what it knew of the links as it was.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -104,6 +104,8 @@
   TimerQueue::Handle expiryTimer;
   /// This instance closes the connection itself.
   bool abandoned = false;
+  /// True once the attempt is known as one without an answer.
+  bool unanswered = false;
 };
 
 /// What is known of the run of a server that is no longer used.
@@ -142,7 +144,7 @@
   [[nodiscard]] bool IsReachable() const noexcept;
 
   /// Records a sent attempt whose request ends without an answer.
-  void OnUnanswered(const Attempt& aAttempt, TimePoint aNow);
+  void OnUnanswered(Attempt& aAttempt, TimePoint aNow);
 
   /// Tells the runs of servers apart; a restarted server may have the same id.
   [[nodiscard]] std::uint32_t RunHash() const noexcept;
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -563,7 +563,7 @@
   const auto now = steady_clock::now();
   AddLatencySample(aAttempt->request->profile, now - aAttempt->sentAt, now);
   if (now >= aAttempt->request->deadline) {
-    AddCutRun(*aAttempt, false, now);
+    OnUnanswered(*aAttempt, now);
   }
   if (aAttempt->connection) {
     aAttempt->abandoned = true;
--- a/src/gateway/backend_server_evidence.cpp
+++ b/src/gateway/backend_server_evidence.cpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/gateway/process.hpp"
 
 #include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 // What shows whether a server answers this instance, and whether it has ended.
@@ -97,9 +98,11 @@
   }
 }
 
-void BackendServer::OnUnanswered(const Attempt& aAttempt, TimePoint aNow)
+void BackendServer::OnUnanswered(Attempt& aAttempt, TimePoint aNow)
 {
-  AddCutRun(aAttempt, false, aNow);
+  if (!std::exchange(aAttempt.unanswered, true)) {
+    AddCutRun(aAttempt, false, aNow);
+  }
 }
 
 void BackendServer::AddCutRun(const Attempt& aAttempt,
--- a/src/gateway/cut_runs.cpp
+++ b/src/gateway/cut_runs.cpp
@@ -13,13 +13,6 @@
 
 void CutRuns::Add(const Run& aRun)
 {
-  const bool isKnown =
-    std::any_of(mRuns.begin(), mRuns.end(), [&](const auto& aIt) {
-      return aIt.content == aRun.content && aIt.sentAt == aRun.sentAt;
-    });
-  if (isKnown && !aRun.brokeOff) {
-    return;
-  }
   if (mRuns.size() == kMaxRuns) {
     mRuns.erase(mRuns.begin());
   }
