--- a/bench/record_messages.py
+++ b/bench/record_messages.py
@@ -25,6 +25,7 @@
 # sent to the recorder.
 DOMAIN = "c"
 SETTLE_S = 2.0
+CRASH_S = 5.0
 RELAY_HEADER = "X-Bronzedeal-Metadata-After"
 
 
@@ -98,6 +99,17 @@
     return next(it for it in messages if mark in it)
 
 
+def record_crash(world, recorder):
+    """A datagram about a content that ends two servers one after the other."""
+    for it in world.servers:
+        it.crashing_paths = {"/read/crashing"}
+    end = time.monotonic() + CRASH_S
+    while time.monotonic() < end:
+        world.call("read", target="/read/crashing")
+        time.sleep(0.2)
+    return max((it for it in recorder.gossip if it.startswith(b"{")), key=len)
+
+
 def record(build, folder):
     with tempfile.TemporaryDirectory() as work:
         world = standin.World(work, shards=6, replicas=1, builds=(build,))
@@ -118,6 +130,7 @@
                 query = b"GET /metadata HTTP/1.1\r\nHost: instance\r\n" + (
                     "%s: %d 0 0 0 0\r\n\r\n" % (RELAY_HEADER, number)).encode()
                 messages["relay-%s.http" % topic] = exchange(instance, query)
+            messages["crash-notices.json"] = record_crash(world, recorder)
         finally:
             world.close()
     folder.mkdir(parents=True, exist_ok=True)
--- a/tests/platform/versions_test.cpp
+++ b/tests/platform/versions_test.cpp
@@ -1,3 +1,4 @@
+#include "bronzedeal/gateway/crash_notice.hpp"
 #include "bronzedeal/gateway/partial_query.hpp"
 #include "bronzedeal/gateway/peer_table.hpp"
 #include "bronzedeal/gateway/relay_message.hpp"
@@ -8,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <set>
 
 // Messages between instances as bench/record_messages.py recorded them from the
 // versions that may run beside this one. What such a version sends must be read
@@ -76,6 +78,22 @@
   return aNow == aFormer;
 }
 
+/// Versions that have no crash notices, or whose notices weren't recorded
+/// (de4dcf5).
+const std::set<std::string> kWithoutCrashNotices{ "405930d",
+                                                  "6c8d19d",
+                                                  "ae2591f",
+                                                  "de4dcf5" };
+
+/// The list of a datagram that a decoded notice comes from.
+std::string_view ListOf(const CrashNotice& aNotice)
+{
+  if (aNotice.trialTime) {
+    return "trials";
+  }
+  return aNotice.unprovenRuns.empty() ? "crashes" : "unproven";
+}
+
 /// Runs a check for each version that has been recorded.
 class Versions : public testing::TestWithParam<fs::path>
 {
@@ -103,6 +121,34 @@
   EXPECT_TRUE(Extends(json::parse(EncodePeers(states)), json::parse(text)));
 }
 
+// Guards against crashes that instances of another version don't hear of.
+TEST_P(Versions, TellTheSameCrashes)
+{
+  if (kWithoutCrashNotices.contains(GetParam().filename().string())) {
+    return;
+  }
+  const auto text = Message("crash-notices.json");
+  const auto notices = DecodeCrashNotices(text);
+  ASSERT_TRUE(notices);
+  EXPECT_TRUE(std::any_of(notices->begin(),
+                          notices->end(),
+                          [](const auto& aIt) { return !aIt.runs.empty(); }));
+  // Former versions read each list by itself, so a content may have a notice
+  // for each.
+  for (const auto* list : { "crashes", "unproven", "trials" }) {
+    std::vector<CrashNotice> ofList;
+    std::copy_if(notices->begin(),
+                 notices->end(),
+                 std::back_inserter(ofList),
+                 [&](const auto& aIt) { return ListOf(aIt) == list; });
+    const auto former = json::parse(text);
+    if (const auto* rows = former.as_object().if_contains(list)) {
+      EXPECT_TRUE(
+        Extends(json::parse(EncodeCrashNotices(ofList)).at(list), *rows));
+    }
+  }
+}
+
 // Guards against parts of queries that an instance of another version refuses.
 TEST_P(Versions, AskForTheSamePartsOfQueries)
 {
