--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -105,6 +105,7 @@
 class RateLimit;
 class RateShares;
 class ReachView;
+class RecentContents;
 class RelayedSource;
 class ResponseMemory;
 class RetryBudget;
--- a/include/bronzedeal/gateway/crash_quarantine.hpp
+++ b/include/bronzedeal/gateway/crash_quarantine.hpp
@@ -247,8 +247,8 @@
   [[nodiscard]] std::size_t MaxLostRuns(const ContentId& aContent) const;
   [[nodiscard]] bool IsWeak(const Entry& aEntry) const;
   void EndTrial(const ContentId& aContent);
-  /// Marks a change that others should be told at once.
-  void SetUrgent();
+  /// Calls the handler if something urgent hasn't been told yet.
+  void NotifyIfUrgent();
   void AddAnswer(Entry& aEntry, TimePoint aAnsweredAt, TimePoint aNow);
   Table::value_type& FindOrCreate(const ContentId& aContent, TimePoint aNow);
   void MakeRoom(TimePoint aNow);
--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -226,7 +226,8 @@
   entry.trialInProgress = true;
   entry.trialUntil = aDeadline;
   entry.MarkChanged(aNow);
-  SetUrgent();
+  mIsUrgent = true;
+  NotifyIfUrgent();
   return std::shared_ptr<void>(this,
                                [this, aContent](void*) { EndTrial(aContent); });
 }
@@ -236,14 +237,14 @@
   if (const auto it = mContents.find(aContent); it != mContents.end()) {
     it->second.trialInProgress = false;
     it->second.trialUntil = TimePoint{};
-    SetUrgent();
+    mIsUrgent = true;
+    NotifyIfUrgent();
   }
 }
 
-void CrashQuarantine::SetUrgent()
+void CrashQuarantine::NotifyIfUrgent()
 {
-  mIsUrgent = true;
-  if (mOnUrgent) {
+  if (mIsUrgent && mOnUrgent) {
     mOnUrgent();
   }
 }
@@ -261,9 +262,7 @@
   Apply(row, VerdictCause::ServerEnded, aNow, [&](Entry& aEntry) {
     AddRun(aEntry, aRun, aNow);
   });
-  if (mIsUrgent) {
-    SetUrgent();
-  }
+  NotifyIfUrgent();
   return static_cast<unsigned>(row.second.runs.size());
 }
 
@@ -330,9 +329,7 @@
   Apply(row, VerdictCause::Unanswered, aNow, [&](Entry& aEntry) {
     AddUnprovenRun(aEntry, aRun, aNow);
   });
-  if (mIsUrgent) {
-    SetUrgent();
-  }
+  NotifyIfUrgent();
 }
 
 void CrashQuarantine::OnUnanswered(const ContentId& aContent, TimePoint aNow)
@@ -350,9 +347,7 @@
     Apply(*it, VerdictCause::Answered, aNow, [&](Entry& aEntry) {
       AddAnswer(aEntry, aNow, aNow);
     });
-    if (mIsUrgent) {
-      SetUrgent();
-    }
+    NotifyIfUrgent();
   }
 }
 
