--- a/bench/crash_plays.py
+++ b/bench/crash_plays.py
@@ -8,8 +8,8 @@
 requests without running them, who sends the content and how long it waits,
 whether failure domains hear of each other, and which instances are paused,
 killed or stopped meanwhile. All sends of the content count that reach a server
-later than `CONTACT_S` after it has crashed the third one, but those of instances
-that were disturbed so short a time before.
+later than `CONTACT_S` after it has crashed the third one, except those of
+instances that were disturbed within `DISTURBED_S` before.
 """
 
 import argparse
@@ -28,7 +28,7 @@
 
 LEDGER_SERVERS = 9
 LENGTH_S = 24.0
-# Rest of the time in which an instance that was disturbed doesn't count.
+# After a fault, the sends of an instance don't count for this long.
 DISTURBED_S = CONTACT_S + 1.0
 
 
@@ -102,7 +102,7 @@
                 instance.start()
             self.disturbed.append((instance.name, begin, time.monotonic()))
 
-    def in_touch(self, instance, when):
+    def is_undisturbed(self, instance, when):
         return not any(name == instance and begin <= when <= end + DISTURBED_S
                        for name, begin, end in self.disturbed)
 
@@ -114,7 +114,7 @@
         since = crashes[CRASHES - 1]["at"] + CONTACT_S
         sender = {it["id"]: it["instance"] for it in history.of("sent")}
         return sum(it["path"] == self.target and it["at"] > since
-                   and self.in_touch(sender[it["id"]], it["at"])
+                   and self.is_undisturbed(sender[it["id"]], it["at"])
                    for it in history.of("arrival")), len(crashes)
 
     def run(self):
