--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -526,7 +526,7 @@
 
 def call_all(calls):
     """Runs the calls at the same time and waits for them."""
-    threads = [threading.Thread(target=it) for it in calls]
+    threads = [threading.Thread(target=it, daemon=True) for it in calls]
     for it in threads:
         it.start()
     for it in threads:
