--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -327,7 +327,7 @@
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                               b"\1\0\0\0\0\0\0\0")
-        connection.shutdown(socket.SHUT_RD)
+        connection.shutdown(socket.SHUT_RDWR)
         connection.close()
     except OSError:
         pass
