--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,12 +16,16 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common2"))
 import stage  # noqa: E402
 
-DURATION_S = 90.0
+DURATION_S = 104.0
 BURST_INTERVAL_S = 0.6
 BURST_SIZE = 7
-SERVICES = 6
+SERVICES = 10
 WORK_S = (0.03, 0.12)
-COPIED_SHARE = 0.04  # `garble` of the site file: at most 0.04 with "extra late".
+# `garble` "extra late" of the site file: 0.04 of the answers, for 5 s. It comes
+# again after a pause of 3 s.
+COPIED_SHARE = 0.04
+SPELL_S = 5.0
+SPELL_INTERVAL_S = 8.0
 
 
 def play(trouble, record):
@@ -39,7 +43,8 @@
 
         def keep_copy(handler, answer, status):
             with it.lock:
-                is_copied = rng.random() < COPIED_SHARE
+                is_copied = (rng.random() < COPIED_SHARE and
+                             time.monotonic() % SPELL_INTERVAL_S < SPELL_S)
             if trouble and is_copied:
                 held[handler] = answer
 
