Bound what the parser of callers' requests can't take yet

Cause: Beast's parser limits the header and the body, but takes no byte of the trailers or of a chunk's line before their end has come. Until then the bytes stay in the connection's read buffer, which nothing bounded but the time of a request. The gateway's connections to servers have had such a bound before; the listener, which all five ports use, had none.

Change: bytes that the parser leaves over are bounded by the header limit of the configuration plus one read, while a message is incomplete. Beyond that the client gets 431 and the connection closes. Trailers within the limits are read as before.

--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -177,6 +177,9 @@
     mParser->eager(true);
     mParser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     mParser->body_limit(limits.bodyBytes);
+    // The parser limits neither the trailers nor the line of a chunk, and takes
+    // none of their bytes before their end.
+    mMaxUnparsedBytes = limits.headerBytes + kReadBufferBytes;
   }
 
   void RestartTimer(milliseconds aWait)
@@ -291,6 +294,9 @@
     if (!ec && mParser->is_done() && !HasKnownFraming(mParser->get())) {
       ec = http::error::bad_transfer_encoding;
     }
+    if (!ec && !mParser->is_done() && mReadBuffer.size() > mMaxUnparsedBytes) {
+      ec = http::error::header_limit;
+    }
     if (ec) {
       RejectUnreadable(StatusForParseError(ec));
     } else if (mParser->is_done()) {
@@ -438,6 +444,8 @@
   std::optional<Parser> mParser;
   std::shared_ptr<Exchange> mExchange;
   TimerQueue::Handle mTimer;
+  /// Limit of the bytes that the parser can't take yet.
+  std::size_t mMaxUnparsedBytes = 0;
   std::string mReadBuffer;
   std::string mWriteBuffer;
   TimePoint mReceivedAt{};
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -650,6 +650,7 @@
         self.settings = world.folder / (self.name + ".json")
         self.process = None
         self.links = Links(world.store) if number in world.linked else None
+        self.arguments = ()  # Of the command line, beside the settings file.
         self.log = open(world.folder / (self.name + ".log"), "ab")
 
     def address(self, role):
@@ -672,7 +673,8 @@
         build = self.world.build_choice.choice(self.world.builds)
         self.process = subprocess.Popen(
             [str(build / "bronzedeal-gateway"), "--config",
-             str(self.settings)], stdout=self.log, stderr=self.log)
+             str(self.settings), *self.arguments],
+            stdout=self.log, stderr=self.log)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -685,6 +687,10 @@
         line = next(it for it in status.splitlines() if it.startswith("VmHWM"))
         return int(line.split()[1]) / 1024
 
+    def descriptor_count(self):
+        return len(list(pathlib.Path("/proc/%d/fd" % self.process.pid
+                                     ).iterdir()))
+
     def stop(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
