Move the connections of the listener to a file of their own

`HttpListener` keeps the accepting; `HttpListener::Connection` has src/gateway/http_connection.*, as the fan-out has its internal header.

No change of behaviour: the bodies are the same text, out of the class. All tests of the gateway library pass.

--- /dev/null
+++ b/src/gateway/http_connection.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "bronzedeal/gateway/http_listener.hpp"
+
+#include "bronzedeal/gateway/process.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace bronzedeal::gateway {
+
+struct HttpListener::Impl : std::enable_shared_from_this<Impl>
+{
+  Impl(Process& aProcess, RequestHandler aHandler)
+    : process(aProcess)
+    , acceptor(aProcess.context)
+    , handler(std::move(aHandler))
+  {
+  }
+
+  void Accept();
+  /// Accepts the connections that wait in the kernel.
+  void AcceptArrived();
+  void OnAccepted(boost::asio::ip::tcp::socket aSocket);
+
+  Process& process;
+  boost::asio::ip::tcp::acceptor acceptor;
+  RequestHandler handler;
+  CallerLimits limits;
+  std::set<std::shared_ptr<Connection>> connections;
+  std::size_t busyConnections = 0;
+  bool draining = false;
+};
+
+/// One accepted connection.
+class HttpListener::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+  Connection(std::shared_ptr<Impl> aListener,
+             boost::asio::ip::tcp::socket aSocket);
+
+  void Start();
+
+  /// Answers the request in progress and those that have arrived behind it.
+  void Conclude();
+
+  void CloseIfIdle();
+
+  /// Begins the request that has arrived, if none is in progress.
+  void ReadArrived();
+
+  /// Runs `aAction`. An error ends this connection only.
+  template<typename Action>
+  void Isolate(Action&& aAction)
+  {
+    try {
+      std::forward<Action>(aAction)();
+    } catch (const std::exception& e) {
+      OnInternalError(e);
+    }
+  }
+
+  /// True if a request is in progress or has arrived in part.
+  [[nodiscard]] bool HasRequest() const noexcept { return mRequestStarted; }
+
+private:
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void OnInternalError(const std::exception& aError);
+  /// Waits for the next request. Its limits are those in force when it begins.
+  void BeginRequest();
+  void ResetParser();
+  void RestartTimer(milliseconds aWait);
+  void OnTimeout();
+  void WaitReadable();
+  /// True if bytes of a further request were read together with the last one.
+  [[nodiscard]] bool HasNextRequest() const noexcept
+  {
+    return !mRequestStarted && !mReadBuffer.empty();
+  }
+  /// Reads what has arrived; returns whether there was anything.
+  bool Read();
+  void OnReadable();
+  void OnCallerDisconnected();
+  void Parse();
+  void Dispatch();
+  void OnReply(const CallerReply& aReply);
+  void RejectUnreadable(unsigned aStatus);
+  /// Replies to a request that was not read whole, then closes the connection.
+  void Reject(const CallerReply& aReply);
+  void Write(std::size_t aFrom);
+  void OnWritten();
+  void EndRequest();
+  void Close();
+
+  std::shared_ptr<Impl> mListener;
+  boost::asio::ip::tcp::socket mSocket;
+  std::optional<Parser> mParser;
+  std::shared_ptr<Exchange> mExchange;
+  TimerQueue::Handle mTimer;
+  /// Limit of the bytes that the parser can't take yet.
+  std::size_t mMaxUnparsedBytes = 0;
+  std::string mReadBuffer;
+  std::string mWriteBuffer;
+  TimePoint mReceivedAt{};
+  TimePoint mIdleSince{};
+  bool mIsOpen = true;
+  bool mIsWaitingReadable = false;
+  bool mIsFirstRequest = true;
+  bool mRequestStarted = false;
+  bool mRequestInProgress = false;
+  bool mReplyStarted = false;
+  bool mCloseAfterReply = false;
+  bool mIsHeadRequest = false;
+};
+
+} // namespace bronzedeal::gateway
