Bound the memory of unfinished requests together

Callers saw: requests with bodies inside the limits, but many at once and never finished, fill the memory of an instance. 2,048 connections may hold 256 KiB each, half a gigabyte on machines with 160 to 512 MB.

Cause: the limits of a request and the number of connections were bounded, their product was not.

Change: each listening port has a budget, a part of the instance's memory by the role of the port (callers 1/4, instances 1/8, the others 1/64 each), so that a crowd at one port leaves the others alone. The rule is the one that bounds the responses of servers: one request may hold a quarter of what is free, and 8 KiB always. `ResponseMemory` is now `MemoryBudget` and serves both. What has no room is refused with 503, which is true: it was not read whole, and the caller may return after 100 ms. `bronzedeal_requests_shed_total` counts it.

The tests of the crowd now give each request an id of its own, and wait until the process has read what was sent.

--- a/include/bronzedeal/gateway/http_listener.hpp
+++ b/include/bronzedeal/gateway/http_listener.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzedeal/gateway/exchange.hpp"
+#include "bronzedeal/gateway/listener_limits.hpp"
 #include "bronzedeal/gateway/route_config.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,13 +17,15 @@
 
 /// HTTP/1.1 server. Reads each request completely, processes one at a time per
 /// connection, and cancels the exchange if the caller closes its connection.
+/// What all clients hold together is bounded by the limits of the port's role.
 class HttpListener
 {
 public:
   /// Throws boost::system::system_error if the address can't be bound.
   HttpListener(Process& aProcess,
                const boost::asio::ip::tcp::endpoint& aAddress,
-               RequestHandler aHandler);
+               RequestHandler aHandler,
+               ListenerRole aRole = ListenerRole::Callers);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -4,10 +4,10 @@
 #include "bronzedeal/gateway/decision_log.hpp"
 #include "bronzedeal/gateway/fleet_shares.hpp"
 #include "bronzedeal/gateway/link_evidence.hpp"
+#include "bronzedeal/gateway/memory_budget.hpp"
 #include "bronzedeal/gateway/metadata_history.hpp"
 #include "bronzedeal/gateway/peer_table.hpp"
 #include "bronzedeal/gateway/rate_shares.hpp"
-#include "bronzedeal/gateway/response_memory.hpp"
 #include "bronzedeal/gateway/settings.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
 #include "bronzedeal/process/metrics.hpp"
@@ -23,7 +23,7 @@
   Process(Settings aSettings, DecisionLog::Sink aSink);
 
   /// Outlives the connections that the context's handlers hold.
-  ResponseMemory responseMemory;
+  MemoryBudget responseMemory;
   /// Outlives the requests that the context's handlers hold.
   CrashQuarantine crashQuarantine;
   LinkEvidence linkEvidence;
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -2,7 +2,7 @@
 
 #include "bronzedeal/gateway/connection_options.hpp"
 #include "bronzedeal/gateway/http_message.hpp"
-#include "bronzedeal/gateway/response_memory.hpp"
+#include "bronzedeal/gateway/memory_budget.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -34,7 +34,7 @@
 
   ServerConnection(boost::asio::io_context& aContext,
                    TimerQueue& aTimers,
-                   ResponseMemory& aMemory,
+                   MemoryBudget& aMemory,
                    std::size_t aMaxResponseBodyBytes);
 
   void Connect(const boost::asio::ip::tcp::endpoint& aEndpoint,
@@ -91,7 +91,7 @@
   std::string mWriteBuffer;
   std::string mReadBuffer;
   /// Bytes received of the current response, interim ones included.
-  ResponseMemory::Charge mCharge;
+  MemoryBudget::Charge mCharge;
   unsigned mInterimCount = 0;
   bool mIsOpen = false;
   bool mIsWriting = false;
--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -50,6 +50,7 @@
   ServersLeaving,
   ServersTurningAway,
   ListsIncomplete,
+  RequestsShed,
   Count,
 };
 
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -86,21 +86,24 @@
         [this](const CallerRequest& aRequest, const ReplyHandler& aReply) {
           aReply(AnswerReadiness(aRequest));
           return nullptr;
-        })
+        },
+        ListenerRole::Readiness)
     , addresses(
         process,
         process.settings.addressEndpoint,
         [this](const CallerRequest& aRequest, const ReplyHandler& aReply) {
           aReply(AnswerAddresses(aRequest));
           return nullptr;
-        })
-    , instances(process,
-                { process.settings.gossipEndpoint.address(),
-                  process.settings.gossipEndpoint.port() },
-                [this](CallerRequest aRequest, ReplyHandler aReply) {
-                  return HandleInstanceRequest(std::move(aRequest),
-                                               std::move(aReply));
-                })
+        },
+        ListenerRole::Addresses)
+    , instances(
+        process,
+        { process.settings.gossipEndpoint.address(),
+          process.settings.gossipEndpoint.port() },
+        [this](CallerRequest aRequest, ReplyHandler aReply) {
+          return HandleInstanceRequest(std::move(aRequest), std::move(aReply));
+        },
+        ListenerRole::Instances)
     , signals(process.context, SIGTERM, SIGINT, SIGHUP)
   {
     servers.SetChangeHandler([this] { relay.OnChange(); });
@@ -118,7 +121,8 @@
           reply.body = process.metrics.Expose();
           aReply(std::move(reply));
           return nullptr;
-        });
+        },
+        ListenerRole::Metrics);
     }
   }
 
--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -35,6 +35,11 @@
 constexpr milliseconds kMaxTimeLeft = std::chrono::hours(24);
 /// Number of requests of one connection that are answered before the exit.
 constexpr std::size_t kMaxConcludedRequests = 16;
+/// A string that grows may take this multiple of its size.
+constexpr std::size_t kBufferGrowth = 2;
+/// Time after which a caller should return when there was no memory for its
+/// request; another instance may have room.
+constexpr auto kShedRetryDelay = milliseconds(100);
 
 std::optional<std::int64_t> ParseInteger(boost::beast::string_view aText)
 {
@@ -62,6 +67,7 @@
                                      tcp::socket aSocket)
   : mListener(std::move(aListener))
   , mSocket(std::move(aSocket))
+  , mCharge(mListener->memory)
 {
 }
 
@@ -244,6 +250,8 @@
   }
   if (ec) {
     RejectUnreadable(StatusForParseError(ec));
+  } else if (!UpdateCharge()) {
+    Shed();
   } else if (mParser->is_done()) {
     Dispatch();
   }
@@ -255,6 +263,8 @@
   process.timers.Cancel(mTimer);
   CallerRequest request;
   request.message = mParser->release();
+  mParser.reset();
+  mCharge.Release();
   request.receivedAt = mReceivedAt;
   const int roundTrips = kRequestRoundTrips + kAddressLookupRoundTrips +
                          (mIsFirstRequest ? kConnectRoundTrips : 0);
@@ -293,6 +303,21 @@
   Write(0);
 }
 
+bool HttpListener::Connection::UpdateCharge()
+{
+  auto bytes = mReadBuffer.size();
+  if (mParser) {
+    bytes += mParser->get().body().size();
+  }
+  return mCharge.TryResize(kBufferGrowth * bytes);
+}
+
+void HttpListener::Connection::Shed()
+{
+  mListener->process.metrics.Add(process::Counter::RequestsShed);
+  Reject(RefusedReply("unfinished requests hold the memory", kShedRetryDelay));
+}
+
 void HttpListener::Connection::RejectUnreadable(unsigned aStatus)
 {
   Reject(TextReply(aStatus, "the request can't be read"));
@@ -304,6 +329,9 @@
     "request_rejected",
     { { "status", static_cast<std::int64_t>(aReply.status) } });
   mListener->process.timers.Cancel(mTimer);
+  mParser.reset();
+  mReadBuffer = {};
+  mCharge.Release();
   mRequestInProgress = true;
   ++mListener->busyConnections;
   mCloseAfterReply = true;
--- a/src/gateway/http_connection.hpp
+++ b/src/gateway/http_connection.hpp
@@ -16,10 +16,13 @@
 
 struct HttpListener::Impl : std::enable_shared_from_this<Impl>
 {
-  Impl(Process& aProcess, RequestHandler aHandler)
+  Impl(Process& aProcess,
+       RequestHandler aHandler,
+       const ListenerLimits& aListenerLimits)
     : process(aProcess)
     , acceptor(aProcess.context)
     , handler(std::move(aHandler))
+    , memory(aListenerLimits.memory)
   {
   }
 
@@ -31,6 +34,7 @@
   Process& process;
   boost::asio::ip::tcp::acceptor acceptor;
   RequestHandler handler;
+  MemoryBudget memory;
   CallerLimits limits;
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t busyConnections = 0;
@@ -91,7 +95,11 @@
   void Parse();
   void Dispatch();
   void OnReply(const CallerReply& aReply);
+  /// Counts the bytes that the connection holds; false if they are too many.
+  [[nodiscard]] bool UpdateCharge();
   void RejectUnreadable(unsigned aStatus);
+  /// Refuses a request for which the memory of the port has no room.
+  void Shed();
   /// Replies to a request that was not read whole, then closes the connection.
   void Reject(const CallerReply& aReply);
   void Write(std::size_t aFrom);
@@ -103,6 +111,7 @@
   boost::asio::ip::tcp::socket mSocket;
   std::optional<Parser> mParser;
   std::shared_ptr<Exchange> mExchange;
+  MemoryBudget::Charge mCharge;
   TimerQueue::Handle mTimer;
   /// Limit of the bytes that the parser can't take yet.
   std::size_t mMaxUnparsedBytes = 0;
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -73,8 +73,12 @@
 
 HttpListener::HttpListener(Process& aProcess,
                            const tcp::endpoint& aAddress,
-                           RequestHandler aHandler)
-  : mImpl(std::make_shared<Impl>(aProcess, std::move(aHandler)))
+                           RequestHandler aHandler,
+                           ListenerRole aRole)
+  : mImpl(
+      std::make_shared<Impl>(aProcess,
+                             std::move(aHandler),
+                             LimitsFor(aRole, aProcess.settings.memoryBytes)))
 {
   mImpl->acceptor.open(aAddress.protocol());
   mImpl->acceptor.set_option(tcp::acceptor::reuse_address(true));
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 Process::Process(Settings aSettings, DecisionLog::Sink aSink)
-  : responseMemory(aSettings.memoryBytes / kResponseMemoryDivisor)
+  : responseMemory(
+      { .totalBytes = aSettings.memoryBytes / kResponseMemoryDivisor })
   , crashQuarantine(
       aSettings.instance,
       CrashQuarantine::Options{},
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -51,7 +51,7 @@
 
 ServerConnection::ServerConnection(asio::io_context& aContext,
                                    TimerQueue& aTimers,
-                                   ResponseMemory& aMemory,
+                                   MemoryBudget& aMemory,
                                    std::size_t aMaxResponseBodyBytes)
   : mSocket(aContext)
   , mTimers(aTimers)
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -69,6 +69,8 @@
     "Answers of servers that ask to come again later" },
   { "bronzedeal_lists_incomplete_total",
     "Lists of the metadata service whose pages lead nowhere" },
+  { "bronzedeal_requests_shed_total",
+    "Requests refused because others hold the memory of their port" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGaugeDescriptions{ {
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -1,10 +1,11 @@
 #include "bronzedeal/gateway/address_picker.hpp"
 #include "bronzedeal/gateway/cold_allowance.hpp"
 #include "bronzedeal/gateway/fleet_shares.hpp"
+#include "bronzedeal/gateway/listener_limits.hpp"
+#include "bronzedeal/gateway/memory_budget.hpp"
 #include "bronzedeal/gateway/peer_table.hpp"
 #include "bronzedeal/gateway/record_merge.hpp"
 #include "bronzedeal/gateway/replica_cost.hpp"
-#include "bronzedeal/gateway/response_memory.hpp"
 #include "bronzedeal/gateway/retry_budget.hpp"
 #include "bronzedeal/gateway/route_table.hpp"
 #include "bronzedeal/gateway/shard_selection.hpp"
@@ -179,11 +180,11 @@
 
 // Guards against many endless responses that together exceed the memory, and
 // against small responses that fail because of them.
-TEST(ResponseMemory, BoundsAllResponsesTogetherAndPassesSmallOnes)
+TEST(MemoryBudget, BoundsAllResponsesTogetherAndPassesSmallOnes)
 {
   constexpr std::size_t kLimit = std::size_t{ 20 } << 20;
-  ResponseMemory memory(kLimit);
-  std::deque<ResponseMemory::Charge> endless;
+  MemoryBudget memory({ .totalBytes = kLimit });
+  std::deque<MemoryBudget::Charge> endless;
   std::vector<bool> open(50, true);
   for (std::size_t n = 0; n < open.size(); ++n) {
     endless.emplace_back(memory);
@@ -197,7 +198,7 @@
       }
     }
     peak = std::max(peak, memory.UsedBytes());
-    ResponseMemory::Charge small(memory);
+    MemoryBudget::Charge small(memory);
     ASSERT_TRUE(small.TryGrow(3000));
   }
   EXPECT_LT(peak, kLimit);
@@ -205,6 +206,35 @@
   EXPECT_EQ(memory.UsedBytes(), 0U);
 }
 
+// Guards against a message whose bytes are counted twice, or stay counted.
+TEST(MemoryBudget, FollowsTheSizeOfAMessage)
+{
+  MemoryBudget memory({ .totalBytes = 4000, .smallBytes = 100 });
+  MemoryBudget::Charge charge(memory);
+  EXPECT_TRUE(charge.TryResize(600));
+  EXPECT_TRUE(charge.TryResize(50));
+  EXPECT_EQ(memory.UsedBytes(), 50U);
+  EXPECT_FALSE(charge.TryResize(3000));
+  EXPECT_TRUE(charge.TryResize(0));
+  EXPECT_EQ(memory.UsedBytes(), 0U);
+}
+
+// Guards against ports whose clients could together hold more than the memory
+// of the instance leaves beside the responses of servers.
+TEST(ListenerLimits, LeaveHalfOfTheMemory)
+{
+  constexpr std::size_t kMemoryBytes = std::size_t{ 160 } << 20;
+  std::size_t total = 0;
+  for (const auto it : { ListenerRole::Callers,
+                         ListenerRole::Instances,
+                         ListenerRole::Addresses,
+                         ListenerRole::Readiness,
+                         ListenerRole::Metrics }) {
+    total += LimitsFor(it, kMemoryBytes).memory.totalBytes;
+  }
+  EXPECT_LE(total, kMemoryBytes / 2);
+}
+
 // Guards against queries that all wait for the same overloaded shards (scale-1
 // of ondt-devis-large: six of 87 shards had slow servers only, and each query
 // waited for its deadline although 83 answers suffice).
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -34,12 +34,15 @@
             it.setblocking(False)
             self.sockets.append(it)
 
-    def send(self, head, filler=b"", filler_count=0):
-        """Each client sends `head`, then `filler` so many times."""
-        self.send_each([head] * len(self.sockets), filler, filler_count)
+    @classmethod
+    def of(cls, sockets):
+        """A part of another crowd."""
+        part = cls.__new__(cls)
+        part.sockets = list(sockets)
+        return part
 
-    def send_each(self, heads, filler=b"", filler_count=0):
-        """The same, with a head for each client."""
+    def send(self, heads, filler=b"", filler_count=0):
+        """Each client sends its head, then `filler` so many times."""
         waiting = {it: [head] + [filler] * filler_count
                    for it, head in zip(self.sockets, heads)}
         with selectors.DefaultSelector() as selector:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -206,7 +206,7 @@
     """A backend server that registers in the store and runs requests.
 
     Times are in seconds: `work_s` is the time that each request takes, and
-    answers are held back until `pause_until`. `fail_share` of the answers have
+    answers, of `body_bytes`, are held back until `pause_until`. `fail_share` of the answers have
     status 500; `lose_share` of them are replaced by closing the connection.
     `unrun_share` of the requests get the status `unrun_status` without a run,
     and without a statement that they haven't run.
@@ -227,6 +227,8 @@
         self.store, self.history = store, history
         self.id, self.group, self.zone = ident, group, zone
         self.work_s = 0.004
+        self.body_bytes = 48
+        self.great_body = b""
         self.pause_until = 0.0
         self.fail_share = 0.0
         self.lose_share = 0.0
@@ -382,7 +384,7 @@
                 self.leaving and self.leaving_status == 500):
             call.reply(500, headers, b"")
             return
-        body = b"".join(self.random.randbytes(16) for _ in range(3))
+        body = self.make_body()
         self.history.add("part", server=self.id, group=self.group, id=ident,
                          stamp=stamp, body=body)
         call.reply(200, headers, body)
@@ -393,6 +395,15 @@
             except OSError:
                 pass  # The gateway has closed the connection.
 
+    def make_body(self):
+        """Random records; a great body is the same each time, as the history
+        keeps it."""
+        if self.body_bytes <= 4096:
+            return self.random.randbytes(self.body_bytes)
+        if len(self.great_body) != self.body_bytes:
+            self.great_body = self.random.randbytes(self.body_bytes)
+        return self.great_body
+
     def end_call(self, call):
         """Ends a call of a run that has ended."""
         call.close_connection = True
@@ -668,13 +679,14 @@
             "platform": {"address": self.links.address if self.links else
                          self.world.store_address}, **changes}))
 
-    def start(self):
+    def start(self, log=None):
+        """Starts the process; its output goes to `log`, or to its file."""
         self.world.history.add("started", instance=self.name)
         build = self.world.build_choice.choice(self.world.builds)
         self.process = subprocess.Popen(
             [str(build / "bronzedeal-gateway"), "--config",
              str(self.settings), *self.arguments],
-            stdout=self.log, stderr=self.log)
+            stdout=log or self.log, stderr=self.log)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -691,6 +703,16 @@
         return len(list(pathlib.Path("/proc/%d/fd" % self.process.pid
                                      ).iterdir()))
 
+    def connection_count(self, role):
+        """Connections of clients that the process holds open."""
+        host, port = self.address(role).split(":")
+        local = "%s:%04X" % (bytes(reversed(socket.inet_aton(host))).hex(
+            ).upper(), int(port))
+        rows = [it.split() for it in pathlib.Path("/proc/net/tcp").read_text(
+            ).splitlines()[1:]]
+        return sum(it[1] == local and it[3] != "0A" and it[9] != "0"
+                   for it in rows)
+
     def stop(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -7,7 +7,10 @@
 """
 
 import json
+import os
 import socket
+import threading
+import time
 import unittest
 
 import crowd
@@ -22,32 +25,46 @@
 PORTS = ("front", "ready", "directory", "inner", "metrics")
 
 
-def request_head(path="/read/1", method="GET", *fields):
-    lines = ["%s %s HTTP/1.1" % (method, path), "Host: shop.example",
-             "Request-Id: crowd", "Request-Deadline: 2500", *fields]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
-CHUNKED = request_head("/read/1", "POST", "Transfer-Encoding: chunked")
+CHUNKED = ("Transfer-Encoding: chunked",)
+WHOLE_BODY = ("Content-Length: %d" % MEBIBYTE,)
 
 
 class MisbehavingClientsTest(WorldTestCase):
     instances = 1
+    head_count = 0
 
     def setUp(self):
         super().setUp()
-        world, self.instance = self.world, self.world.instances[0]
-        self.metrics_port = world.free_ports()["front"]
-        world.config["limits"] = dict(LIMITS)
+        self.instance = self.world.instances[0]
+        self.metrics_port = self.world.free_ports()["front"]
+        self.set_limits(LIMITS)
+        self.restart()
+
+    def set_limits(self, limits):
+        """Publishes limits of callers and waits until they are in force."""
+        world = self.world
+        world.config["limits"] = dict(limits)
         world.config["version"] = world.version = world.version + 2
         world.republish()
+        line = '"config_accepted","instance":"%s","version":%d,' % (
+            self.instance.name, world.version)
+        log = world.folder / (self.instance.name + ".log")
+        self.assertTrue(world.wait(lambda: line in log.read_text()))
+
+    def restart(self, log=None):
+        """Starts the process again with the limits of a small machine."""
         self.instance.stop()
         self.instance.arguments = ("--metrics-port", str(self.metrics_port))
         self.instance.write_settings(limits={
             "cpu-share": 1, "cores": 1, "max-fds": MAX_DESCRIPTORS,
             "memory-mb": MEMORY_MB})
-        self.instance.start()
-        self.assertTrue(world.wait(self.instance.ready))
+        self.instance.start(log)
+        self.assertTrue(self.world.wait(self.instance.ready))
+
+    def answer_with(self, size):
+        """Sets the size of the answers of the group `ledger`."""
+        for it in self.servers_of("ledger"):
+            it.body_bytes = size
 
     def address(self, port):
         if port == "metrics":
@@ -59,14 +76,46 @@
         self.addCleanup(clients.close)
         return clients
 
+    def heads(self, count, path="/read/", method="GET", fields=()):
+        """Heads of requests, each with an id of its own."""
+        heads = []
+        for _ in range(count):
+            self.head_count += 1
+            ident = "crowd%06d" % self.head_count
+            self.world.history.add("sent", id=ident, path=path + ident,
+                                   instance=self.instance.name)
+            lines = ["%s %s%s HTTP/1.1" % (method, path, ident),
+                     "Host: shop.example", "Request-Id: " + ident,
+                     "Request-Deadline: 2500", *fields]
+            heads.append(("\r\n".join(lines) + "\r\n\r\n").encode())
+        return heads
+
+    def exchange_one_by_one(self, clients, size, requests=1):
+        """Each client sends its requests and reads `size` bytes of replies."""
+        for it in clients.sockets:
+            one = crowd.Crowd.of([it])
+            one.send([b"".join(self.heads(requests))])
+            one.read(size)
+
+    def assert_within_bounds(self):
+        """The process lives, within the limits of its machine."""
+        self.world.wait(self.has_settled)
+        self.assertIsNone(self.instance.process.poll())
+        self.assertLess(self.instance.peak_memory_mb(), MEMORY_MB)
+        self.assertLessEqual(self.instance.descriptor_count(), MAX_DESCRIPTORS)
+
+    def has_settled(self):
+        """True if what clients have sent doesn't change the process further."""
+        before = self.instance.peak_memory_mb()
+        time.sleep(0.5)
+        return self.instance.peak_memory_mb() == before
+
     def assert_holds(self):
         """The process lives within its bounds and serves an ordinary caller.
 
         A caller comes again after a refusal.
         """
-        self.assertIsNone(self.instance.process.poll())
-        self.assertLess(self.instance.peak_memory_mb(), MEMORY_MB)
-        self.assertLessEqual(self.instance.descriptor_count(), MAX_DESCRIPTORS)
+        self.assert_within_bounds()
         self.assertTrue(self.world.wait(
             lambda: self.world.call("read").status == 200))
         self.assertIsNone(self.instance.process.poll())
@@ -76,21 +125,34 @@
         """Guards against trailers behind a chunked body that fill the memory."""
         for port in PORTS:
             clients = self.crowd(port, 8)
-            clients.send(CHUNKED + b"0\r\n", b"X-Filler: x\r\n" * 4096, 600)
+            heads = self.heads(8, "/read/", "POST", CHUNKED)
+            clients.send([it + b"0\r\n" for it in heads],
+                         b"X-Filler: x\r\n" * 4096, 600)
             self.assert_holds()
 
     def test_a_trailer_without_end(self):
         """Guards against one trailer line that fills the memory."""
         for port in PORTS:
             clients = self.crowd(port, 8)
-            clients.send(CHUNKED + b"0\r\nX-Filler: ", b"x" * 65536, 500)
+            heads = self.heads(8, "/read/", "POST", CHUNKED)
+            clients.send([it + b"0\r\nX-Filler: " for it in heads],
+                         b"x" * 65536, 500)
             self.assert_holds()
 
     def test_chunk_extensions_without_end(self):
         """Guards against the extension of one chunk that fills the memory."""
         for port in PORTS:
             clients = self.crowd(port, 8)
-            clients.send(CHUNKED + b"1;", b"x" * 65536, 500)
+            heads = self.heads(8, "/read/", "POST", CHUNKED)
+            clients.send([it + b"1;" for it in heads], b"x" * 65536, 500)
+            self.assert_holds()
+
+    def test_bodies_that_do_not_end(self):
+        """Guards against unfinished bodies that together fill the memory."""
+        for port in ("front", "inner"):
+            clients = self.crowd(port, 120)
+            clients.send(self.heads(120, "/read/", "POST", WHOLE_BODY),
+                         b"x" * (MEBIBYTE - 1), 1)
             self.assert_holds()
 
 
