Count the fields of unfinished requests by what they take

Callers saw: heads of short fields fill the memory with few bytes. A field of three bytes takes about 75, and the parser adds each line as it comes, so that 120 unfinished heads of 56 KB took 120 MB beside the budget of a port.

Cause: the budget counted the bytes that wait for the parser and those of the body. What the parser had made of the head was not counted.

Change: the fields count by their text and 128 bytes each, at each read until the head is complete, and once more at the end, when trailers have been added.

--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -37,6 +37,11 @@
 constexpr std::size_t kMaxConcludedRequests = 16;
 /// A string that grows may take this multiple of its size.
 constexpr std::size_t kBufferGrowth = 2;
+/// Memory of one field of a request beside its text.
+constexpr std::size_t kFieldNodeBytes = 128;
+/// The fields of a request in progress are also kept as the bytes that servers
+/// get.
+constexpr std::size_t kFieldCopies = 2;
 /// Time after which a caller should return when there was no memory for its
 /// request; another instance may have room.
 constexpr auto kShedRetryDelay = milliseconds(100);
@@ -52,6 +57,17 @@
   return value;
 }
 
+/// Memory that the fields of a request take.
+std::size_t FieldBytes(const http::fields& aFields)
+{
+  std::size_t bytes = 0;
+  for (const auto& it : aFields) {
+    const auto textBytes = it.name_string().size() + it.value().size();
+    bytes += kFieldNodeBytes + kFieldCopies * textBytes;
+  }
+  return bytes;
+}
+
 /// Returns the HTTP status for a parser error.
 unsigned StatusForParseError(const error_code& aError)
 {
@@ -263,8 +279,7 @@
   process.timers.Cancel(mTimer);
   CallerRequest request;
   request.message = mParser->release();
-  mParser.reset();
-  mCharge.Release();
+  ForgetRequest();
   request.receivedAt = mReceivedAt;
   const int roundTrips = kRequestRoundTrips + kAddressLookupRoundTrips +
                          (mIsFirstRequest ? kConnectRoundTrips : 0);
@@ -305,11 +320,25 @@
 
 bool HttpListener::Connection::UpdateCharge()
 {
-  auto bytes = mReadBuffer.size();
   if (mParser) {
-    bytes += mParser->get().body().size();
+    const auto& message = mParser->get();
+    // Trailers are added to the fields at the end.
+    if (!mIsHeaderCounted || mParser->is_done()) {
+      mFieldBytes = FieldBytes(message);
+      mIsHeaderCounted = mParser->is_header_done();
+    }
+    mRequestBytes = mFieldBytes + kBufferGrowth * message.body().size();
   }
-  return mCharge.TryResize(kBufferGrowth * bytes);
+  return mCharge.TryResize(kBufferGrowth * mReadBuffer.size() + mRequestBytes);
+}
+
+void HttpListener::Connection::ForgetRequest()
+{
+  mParser.reset();
+  mFieldBytes = 0;
+  mIsHeaderCounted = false;
+  mRequestBytes = 0;
+  mCharge.Release();
 }
 
 void HttpListener::Connection::Shed()
@@ -329,9 +358,8 @@
     "request_rejected",
     { { "status", static_cast<std::int64_t>(aReply.status) } });
   mListener->process.timers.Cancel(mTimer);
-  mParser.reset();
   mReadBuffer = {};
-  mCharge.Release();
+  ForgetRequest();
   mRequestInProgress = true;
   ++mListener->busyConnections;
   mCloseAfterReply = true;
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -703,15 +703,23 @@
         return len(list(pathlib.Path("/proc/%d/fd" % self.process.pid
                                      ).iterdir()))
 
-    def connection_count(self, role):
-        """Connections of clients that the process holds open."""
+    def connection_rows(self, role):
+        """The kernel's rows of the connections that the process holds open."""
         host, port = self.address(role).split(":")
         local = "%s:%04X" % (bytes(reversed(socket.inet_aton(host))).hex(
             ).upper(), int(port))
         rows = [it.split() for it in pathlib.Path("/proc/net/tcp").read_text(
             ).splitlines()[1:]]
-        return sum(it[1] == local and it[3] != "0A" and it[9] != "0"
-                   for it in rows)
+        return [it for it in rows
+                if it[1] == local and it[3] != "0A" and it[9] != "0"]
+
+    def connection_count(self, role):
+        return len(self.connection_rows(role))
+
+    def unread_bytes(self, role):
+        """Bytes that have arrived and that the process has not read."""
+        return sum(int(it[4].split(":")[1], 16)
+                   for it in self.connection_rows(role))
 
     def stop(self):
         if self.process and self.process.poll() is None:
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -155,6 +155,15 @@
                          b"x" * (MEBIBYTE - 1), 1)
             self.assert_holds()
 
+    def test_heads_of_many_fields(self):
+        """Guards against many short fields, which take far more memory than
+        their bytes."""
+        fields = ("a:",) * 14000 + ("Content-Length: 2",)
+        for port in ("front", "inner"):
+            clients = self.crowd(port, 120)
+            clients.send(self.heads(120, "/read/", "POST", fields), b"x", 1)
+            self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
