Count requests in progress in the memory of their port

Callers saw: whole requests with bodies at the limit, sent to slow servers, fill the memory while they wait for an answer.

Cause: the budget of a port counted a request until it was read. One in progress holds its fields and body twice, as it came and as servers get it.

Change: the count stays until the reply has been sent, with three times the body and twice the fields.

--- a/include/bronzedeal/gateway/memory_budget.hpp
+++ b/include/bronzedeal/gateway/memory_budget.hpp
@@ -23,6 +23,8 @@
     std::size_t totalBytes = 0;
     /// A message of this size is accepted whatever the others hold.
     std::size_t smallBytes = 65'536;
+    /// One message may hold the free memory divided by this.
+    std::size_t freeDivisor = 4;
   };
 
   explicit MemoryBudget(const Limits& aLimits) noexcept
--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -39,9 +39,10 @@
 constexpr std::size_t kBufferGrowth = 2;
 /// Memory of one field of a request beside its text.
 constexpr std::size_t kFieldNodeBytes = 128;
-/// The fields of a request in progress are also kept as the bytes that servers
-/// get.
+/// A request in progress also holds its fields and its body as servers get
+/// them; a body that has grown may take twice its size.
 constexpr std::size_t kFieldCopies = 2;
+constexpr std::size_t kBodyCopies = 3;
 /// Time after which a caller should return when there was no memory for its
 /// request; another instance may have room.
 constexpr auto kShedRetryDelay = milliseconds(100);
@@ -279,7 +280,7 @@
   process.timers.Cancel(mTimer);
   CallerRequest request;
   request.message = mParser->release();
-  ForgetRequest();
+  mParser.reset();
   request.receivedAt = mReceivedAt;
   const int roundTrips = kRequestRoundTrips + kAddressLookupRoundTrips +
                          (mIsFirstRequest ? kConnectRoundTrips : 0);
@@ -327,7 +328,7 @@
       mFieldBytes = FieldBytes(message);
       mIsHeaderCounted = mParser->is_header_done();
     }
-    mRequestBytes = mFieldBytes + kBufferGrowth * message.body().size();
+    mRequestBytes = mFieldBytes + kBodyCopies * message.body().size();
   }
   return mCharge.TryResize(kBufferGrowth * mReadBuffer.size() + mRequestBytes);
 }
@@ -418,6 +419,7 @@
 
 void HttpListener::Connection::EndRequest()
 {
+  ForgetRequest();
   if (mRequestInProgress) {
     mRequestInProgress = false;
     --mListener->busyConnections;
--- a/src/gateway/http_connection.hpp
+++ b/src/gateway/http_connection.hpp
@@ -98,7 +98,8 @@
   /// Counts the bytes that the connection holds; false if they are too many.
   [[nodiscard]] bool UpdateCharge();
   void RejectUnreadable(unsigned aStatus);
-  /// Frees what the connection holds of the request that was read.
+  /// Frees what the connection holds of the request, once it has ended or will
+  /// not be run.
   void ForgetRequest();
   /// Refuses a request for which the memory of the port has no room.
   void Shed();
@@ -117,7 +118,8 @@
   TimerQueue::Handle mTimer;
   /// Limit of the bytes that the parser can't take yet.
   std::size_t mMaxUnparsedBytes = 0;
-  /// Memory of the request that is being read, and of its fields.
+  /// Memory of the request that is being read or in progress, and of its
+  /// fields.
   std::size_t mRequestBytes = 0;
   std::size_t mFieldBytes = 0;
   std::string mReadBuffer;
--- a/src/gateway/listener_limits.cpp
+++ b/src/gateway/listener_limits.cpp
@@ -8,6 +8,9 @@
 
 /// A connection may hold this whatever the others hold: an ordinary request.
 constexpr std::size_t kSmallRequestBytes = 8192;
+/// One request at the limits is a small part of a port's memory, so it may take
+/// more of what is free than the response of a server.
+constexpr std::size_t kFreeDivisor = 2;
 
 struct Shares
 {
@@ -30,7 +33,8 @@
 {
   const auto& shares = kShares.at(static_cast<std::size_t>(aRole));
   return { .memory = { .totalBytes = aMemoryBytes / shares.memoryDivisor,
-                       .smallBytes = kSmallRequestBytes } };
+                       .smallBytes = kSmallRequestBytes,
+                       .freeDivisor = kFreeDivisor } };
 }
 
 } // namespace bronzedeal::gateway
--- a/src/gateway/memory_budget.cpp
+++ b/src/gateway/memory_budget.cpp
@@ -5,13 +5,6 @@
 
 namespace bronzedeal::gateway {
 
-namespace {
-
-/// One message may hold the free memory divided by this.
-constexpr std::size_t kFreeMemoryDivisor = 4;
-
-} // namespace
-
 bool MemoryBudget::Charge::TryGrow(std::size_t aBytes) noexcept
 {
   mBytes += aBytes;
@@ -19,7 +12,7 @@
   const auto& limits = mMemory.mLimits;
   const auto free =
     limits.totalBytes - std::min(mMemory.mUsed, limits.totalBytes);
-  return mBytes <= std::max(limits.smallBytes, free / kFreeMemoryDivisor);
+  return mBytes <= std::max(limits.smallBytes, free / limits.freeDivisor);
 }
 
 bool MemoryBudget::Charge::TryResize(std::size_t aBytes) noexcept
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -147,6 +147,22 @@
             clients.send([it + b"1;" for it in heads], b"x" * 65536, 500)
             self.assert_holds()
 
+    def test_serves_one_request_at_the_limits(self):
+        """Guards against a limit that an ordinary client meets in calm."""
+        fields = ("X-Filler: " + "x" * 60000,)
+        body = b"x" * MEBIBYTE
+        chunk = b"%x\r\n%s\r\n0\r\nX-Trailer: %s\r\n\r\n" % (
+            MEBIBYTE, body, b"x" * 60000)
+        for framing, data in ((WHOLE_BODY, body), (CHUNKED, chunk)):
+            clients = self.crowd("front", 1)
+            clients.send(self.heads(1, "/read/", "POST", fields + framing),
+                         data, 1)
+            self.assertTrue(self.world.wait(
+                lambda: self.world.history.of("part")))
+            clients.sockets[0].settimeout(5)
+            self.assertIn(b" 200 ", clients.sockets[0].recv(100))
+        self.assert_holds()
+
     def test_bodies_that_do_not_end(self):
         """Guards against unfinished bodies that together fill the memory."""
         for port in ("front", "inner"):
@@ -164,6 +180,21 @@
             clients.send(self.heads(120, "/read/", "POST", fields), b"x", 1)
             self.assert_holds()
 
+    def test_bodies_of_requests_in_progress(self):
+        """Guards against requests that wait for servers with their bodies."""
+        for it in self.servers_of("ledger"):
+            it.work_s = 2
+        clients = self.crowd("front", 60)
+        for it in clients.sockets:
+            crowd.Crowd.of([it]).send(
+                self.heads(1, "/read/", "POST", WHOLE_BODY),
+                b"x" * MEBIBYTE, 1)
+            self.world.wait(lambda: self.instance.unread_bytes("front") == 0)
+        self.assert_within_bounds()
+        for it in self.servers_of("ledger"):
+            it.work_s = 0
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
