Share a request's body among the connections that send it

Callers saw: one body at the limit, sent on a route over many shards, is held once for each server that gets it, and again by each connection until the next request: 40 callers with bodies of 1 MiB and 24 shards took 726 MB.

Cause: each send composed head and body into one string, and the connection kept that string after it was written.

Change: the body of a request is held once, by pointer, and written beside the head in one gathering write; both are let go when they have been written, or the response is complete. Requests without a body are written as before.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -26,7 +26,8 @@
 {
   /// Request line and forwarded header lines, each with its line end.
   std::string head;
-  std::string body;
+  /// Null if there is none.
+  std::shared_ptr<const std::string> body;
   bool isHeadRequest = false;
   /// Servers echo it; a response with another id or none is not accepted.
   std::string requestId;
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -41,9 +41,12 @@
                Duration aTimeout,
                ConnectHandler aHandler);
 
-  /// Sends the bytes of one request. The response to a HEAD request has no body
-  /// even if it states a length.
-  void Send(std::string aBytes, bool aIsHeadRequest, SendHandler aHandler);
+  /// Sends one request: its head, and its body unless that is null. The
+  /// response to a HEAD request has no body even if it states a length.
+  void Send(std::string aHead,
+            std::shared_ptr<const std::string> aBody,
+            bool aIsHeadRequest,
+            SendHandler aHandler);
 
   /// Closes the connection immediately. A pending send handler is called with
   /// `Broken`, a pending connect handler with false.
@@ -75,6 +78,8 @@
   void FinishResponse();
   void CloseOnError();
   void Write(std::size_t aFrom);
+  /// Frees what was to be sent.
+  void ForgetRequest();
 
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -88,7 +93,9 @@
   std::function<void()> mIdleCloseHandler;
   std::function<void(const ResponseMessage&)> mInterimHandler;
   std::optional<Parser> mParser;
-  std::string mWriteBuffer;
+  /// The request until it is written.
+  std::string mHead;
+  std::shared_ptr<const std::string> mBody;
   std::string mReadBuffer;
   /// Bytes received of the current response, interim ones included.
   MemoryBudget::Charge mCharge;
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -456,14 +456,14 @@
   aAttempt->expiryTimer = mProcess.timers.Schedule(
     request.deadline,
     [self = shared_from_this(), aAttempt] { self->OnExpired(aAttempt); });
-  auto bytes = fmt::format("{}{}: {}\r\n{}: {}\r\n\r\n{}",
-                           request.head,
-                           headerNames.timeLeft,
-                           timeLeftMs,
-                           headerNames.expectedServer,
-                           mRecord.id,
-                           request.body);
-  aConnection->Send(std::move(bytes),
+  auto head = fmt::format("{}{}: {}\r\n{}: {}\r\n\r\n",
+                          request.head,
+                          headerNames.timeLeft,
+                          timeLeftMs,
+                          headerNames.expectedServer,
+                          mRecord.id);
+  aConnection->Send(std::move(head),
+                    request.body,
                     request.isHeadRequest,
                     [self = shared_from_this(),
                      aAttempt](SendResult aResult, ResponseMessage* aResponse) {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -74,10 +74,12 @@
     std::string_view(message.method_string()),
     std::string_view(message.target()),
     ForwardedHeaders(message, aContext.process.settings.headerNames));
-  request->body = message.body();
-  if (!request->body.empty() || message.has_content_length()) {
+  if (!message.body().empty()) {
+    request->body = std::make_shared<const std::string>(message.body());
+  }
+  if (request->body || message.has_content_length()) {
     request->head +=
-      fmt::format("Content-Length: {}\r\n", request->body.size());
+      fmt::format("Content-Length: {}\r\n", message.body().size());
   }
   request->isHeadRequest = message.method() == boost::beast::http::verb::head;
   request->requestId = aRequest.caller.requestId;
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -212,6 +212,7 @@
     return; // the call has timed out meanwhile
   }
   mConnection->Send(aCall->bytes,
+                    nullptr,
                     false,
                     [this, running = mRunning, aCall](
                       SendResult aResult, ResponseMessage* aResponse) {
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -90,11 +90,13 @@
   });
 }
 
-void ServerConnection::Send(std::string aBytes,
+void ServerConnection::Send(std::string aHead,
+                            std::shared_ptr<const std::string> aBody,
                             bool aIsHeadRequest,
                             SendHandler aHandler)
 {
-  mWriteBuffer = std::move(aBytes);
+  mHead = std::move(aHead);
+  mBody = std::move(aBody);
   mSendHandler = std::move(aHandler);
   mIsHeadRequest = aIsHeadRequest;
   mInterimCount = 0;
@@ -113,15 +115,22 @@
 
 void ServerConnection::Write(std::size_t aFrom)
 {
+  const auto body = mBody ? asio::buffer(*mBody) : asio::const_buffer();
+  const auto headBytes = std::min(aFrom, mHead.size());
+  const std::array<asio::const_buffer, 2> unsent{
+    asio::buffer(mHead) + headBytes, body + (aFrom - headBytes)
+  };
   error_code ec;
-  const auto n = mSocket.write_some(
-    asio::buffer(mWriteBuffer.data() + aFrom, mWriteBuffer.size() - aFrom), ec);
+  // Most requests have no body; a single buffer needs no gathering write.
+  const auto n = mBody ? mSocket.write_some(unsent, ec)
+                       : mSocket.write_some(unsent.front(), ec);
   if (ec && ec != asio::error::would_block) {
     // The server may have sent a response before the write failed; the pending
     // read delivers it or the error.
     return;
   }
-  if (aFrom + n == mWriteBuffer.size()) {
+  if (aFrom + n == mHead.size() + body.size()) {
+    ForgetRequest();
     return;
   }
   mIsWriting = true;
@@ -135,8 +144,15 @@
     });
 }
 
+void ServerConnection::ForgetRequest()
+{
+  std::string().swap(mHead);
+  mBody.reset();
+}
+
 void ServerConnection::Close()
 {
+  ForgetRequest();
   mTimers.Cancel(mConnectTimer);
   mIsOpen = false;
   mCharge.Release();
@@ -270,6 +286,7 @@
 void ServerConnection::FinishResponse()
 {
   mCharge.Release();
+  ForgetRequest();
   auto response = mParser->release();
   mParser.reset();
   // After surplus bytes, or a response before the whole request was written,
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -195,6 +195,27 @@
             it.work_s = 0
         self.assert_holds()
 
+    def test_bodies_that_many_servers_get(self):
+        """Guards against a copy of a body for each server that gets it, kept
+        by the connections after the request."""
+        world = self.world
+        shards = ["wide-%d" % n for n in range(24)]
+        for n, group in enumerate(shards):
+            world.add_server("i-" + group, group, world.zones[n % 3])
+        world.publish(shards)
+        self.set_limits(LIMITS)
+        self.assertTrue(world.wait(lambda: world.call("all").headers.get(
+            "Missing-Parts") == "0"))
+        for it in world.servers:
+            it.work_s = 0.3
+        clients = self.crowd("front", 40)
+        clients.send(self.heads(40, "/all/", "POST", WHOLE_BODY),
+                     b"x" * MEBIBYTE, 1)
+        clients.read(20)
+        for it in world.servers:
+            it.work_s = 0.004
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
