Count replies that callers don't read

Callers saw: clients that send requests and read no reply fill the memory with replies that wait for them, up to 16 MiB each. The kernel ends a connection whose window stays closed after 5 s; a client that reads a little keeps it.

Cause: a reply was held until it was written, whatever the others held.

Change: a reply that doesn't fit into the connection at once counts in the budget of the port until it is written. Without room the connection closes; the answer has a length, so it can't be taken for a whole one. The request's own bytes no longer count then. `bronzedeal_replies_shed_total` counts it.

--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -51,6 +51,7 @@
   ServersTurningAway,
   ListsIncomplete,
   RequestsShed,
+  RepliesShed,
   Count,
 };
 
--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -330,7 +330,8 @@
     }
     mRequestBytes = mFieldBytes + kBodyCopies * message.body().size();
   }
-  return mCharge.TryResize(kBufferGrowth * mReadBuffer.size() + mRequestBytes);
+  return mCharge.TryResize(kBufferGrowth * mReadBuffer.size() + mRequestBytes +
+                           mReplyBytes);
 }
 
 void HttpListener::Connection::ForgetRequest()
@@ -384,6 +385,16 @@
     OnWritten();
     return;
   }
+  if (aFrom == 0) {
+    // The reply stays until the caller reads it; the request is done.
+    ForgetRequest();
+    mReplyBytes = mWriteBuffer.size();
+    if (!UpdateCharge()) {
+      mListener->process.metrics.Add(process::Counter::RepliesShed);
+      Close();
+      return;
+    }
+  }
   mSocket.async_wait(
     tcp::socket::wait_write,
     [self = shared_from_this(), from = aFrom + n](const error_code& aError) {
@@ -419,6 +430,7 @@
 
 void HttpListener::Connection::EndRequest()
 {
+  mReplyBytes = 0;
   ForgetRequest();
   if (mRequestInProgress) {
     mRequestInProgress = false;
--- a/src/gateway/http_connection.hpp
+++ b/src/gateway/http_connection.hpp
@@ -122,6 +122,8 @@
   /// fields.
   std::size_t mRequestBytes = 0;
   std::size_t mFieldBytes = 0;
+  /// Bytes of the reply while the caller has not taken it.
+  std::size_t mReplyBytes = 0;
   std::string mReadBuffer;
   std::string mWriteBuffer;
   TimePoint mReceivedAt{};
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -71,6 +71,8 @@
     "Lists of the metadata service whose pages lead nowhere" },
   { "bronzedeal_requests_shed_total",
     "Requests refused because others hold the memory of their port" },
+  { "bronzedeal_replies_shed_total",
+    "Replies cut because others hold the memory of their port" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGaugeDescriptions{ {
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -216,6 +216,14 @@
             it.work_s = 0.004
         self.assert_holds()
 
+    def test_replies_that_are_not_read(self):
+        """Guards against replies that clients don't read."""
+        self.answer_with(MEBIBYTE)
+        self.exchange_one_by_one(
+            self.crowd("front", 80, receive_buffer=4096), 20, requests=8)
+        self.answer_with(48)
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
