Let idle connections of callers keep no great buffers

Callers saw: connections that have had one great reply, or sent one great request, hold its memory while they are idle, for 15 s each time.

Cause: the buffers of a connection kept their capacity for the next request, and the last reply stayed in one of them.

Change: at the end of a request, buffers above 2 KiB are freed.

--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -22,6 +22,8 @@
 /// A caller that acknowledges no data for this long counts as disconnected.
 constexpr auto kUnacknowledgedTimeout = milliseconds(5000);
 constexpr std::size_t kReadBufferBytes = 8192;
+/// Capacity of a buffer that an idle connection keeps.
+constexpr std::size_t kKeptBufferBytes = 2048;
 /// Reading stops at this many bytes of further requests while one is in
 /// progress.
 constexpr std::size_t kMaxPipelinedBytes = 65'536;
@@ -69,6 +71,15 @@
   return bytes;
 }
 
+/// Frees a buffer that an ordinary request doesn't need. An idle connection
+/// keeps the others, so that they aren't allocated for each request.
+void TrimBuffer(std::string& aBuffer)
+{
+  if (aBuffer.empty() && aBuffer.capacity() > kKeptBufferBytes) {
+    std::string().swap(aBuffer);
+  }
+}
+
 /// Returns the HTTP status for a parser error.
 unsigned StatusForParseError(const error_code& aError)
 {
@@ -360,7 +371,7 @@
     "request_rejected",
     { { "status", static_cast<std::int64_t>(aReply.status) } });
   mListener->process.timers.Cancel(mTimer);
-  mReadBuffer = {};
+  std::string().swap(mReadBuffer);
   ForgetRequest();
   mRequestInProgress = true;
   ++mListener->busyConnections;
@@ -432,6 +443,9 @@
 {
   mReplyBytes = 0;
   ForgetRequest();
+  TrimBuffer(mReadBuffer);
+  mWriteBuffer.clear();
+  TrimBuffer(mWriteBuffer);
   if (mRequestInProgress) {
     mRequestInProgress = false;
     --mListener->busyConnections;
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -31,6 +31,8 @@
 
 class MisbehavingClientsTest(WorldTestCase):
     instances = 1
+    memory_mb = MEMORY_MB
+    max_descriptors = MAX_DESCRIPTORS
     head_count = 0
 
     def setUp(self):
@@ -56,8 +58,8 @@
         self.instance.stop()
         self.instance.arguments = ("--metrics-port", str(self.metrics_port))
         self.instance.write_settings(limits={
-            "cpu-share": 1, "cores": 1, "max-fds": MAX_DESCRIPTORS,
-            "memory-mb": MEMORY_MB})
+            "cpu-share": 1, "cores": 1, "max-fds": self.max_descriptors,
+            "memory-mb": self.memory_mb})
         self.instance.start(log)
         self.assertTrue(self.world.wait(self.instance.ready))
 
@@ -101,8 +103,9 @@
         """The process lives, within the limits of its machine."""
         self.world.wait(self.has_settled)
         self.assertIsNone(self.instance.process.poll())
-        self.assertLess(self.instance.peak_memory_mb(), MEMORY_MB)
-        self.assertLessEqual(self.instance.descriptor_count(), MAX_DESCRIPTORS)
+        self.assertLess(self.instance.peak_memory_mb(), self.memory_mb)
+        self.assertLessEqual(self.instance.descriptor_count(),
+                             self.max_descriptors)
 
     def has_settled(self):
         """True if what clients have sent doesn't change the process further."""
@@ -224,6 +227,13 @@
         self.answer_with(48)
         self.assert_holds()
 
+    def test_idle_connections_after_great_replies(self):
+        """Guards against buffers that idle connections keep."""
+        self.answer_with(MEBIBYTE)
+        self.exchange_one_by_one(self.crowd("front", 100), MEBIBYTE)
+        self.answer_with(48)
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
