Count what callers send behind a request in progress

Callers saw: 64 KiB of further requests are read from each connection while one is in progress; at 2,048 connections that is 128 MiB.

Cause: the limit held for each connection, and the budget of the port was only asked when a request was parsed.

Change: what is read behind a request in progress counts at once. Without room the connection is read no further until the request has ended; nothing is refused.

--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -233,7 +233,8 @@
   if (Read() && !mRequestInProgress) {
     Parse();
   }
-  if (!mRequestInProgress || mReadBuffer.size() < kMaxPipelinedBytes) {
+  if (!mRequestInProgress ||
+      (mReadBuffer.size() < kMaxPipelinedBytes && UpdateCharge())) {
     WaitReadable();
   }
 }
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -234,6 +234,21 @@
         self.answer_with(48)
         self.assert_holds()
 
+    def test_requests_behind_one_in_progress(self):
+        """Guards against further requests that wait behind one in progress."""
+        for n in range(2, 8):
+            self.world.add_server("i-ledger-%d" % n, "ledger", "a")
+        self.memory_mb, self.max_descriptors = 16, 1024
+        self.restart()
+        for it in self.servers_of("ledger"):
+            it.work_s = 2
+        clients = self.crowd("front", 300)
+        clients.send(self.heads(300), b"x" * 65536, 1)
+        self.assert_within_bounds()
+        for it in self.servers_of("ledger"):
+            it.work_s = 0
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
