Bound the connections of all ports by the instance's descriptors

Callers saw: connections to all ports of an instance use up its descriptors, so that it can't reach servers.

Cause: each of the five ports accepted 2,048 connections, whatever `max-fds` says: 10,240 on machines with 4,100.

Change: each port has a part of `max-fds` by its role: callers 1/2, instances 1/8, addresses 1/16, readiness and metrics 1/64 each. More than a quarter stays for servers, peers and the store. With 4,100 descriptors callers have 2,050 as before.

--- a/include/bronzedeal/gateway/listener_limits.hpp
+++ b/include/bronzedeal/gateway/listener_limits.hpp
@@ -22,12 +22,19 @@
 {
   /// Requests and replies of all connections.
   MemoryBudget::Limits memory;
+  /// Open connections.
+  std::size_t maxConnections = 0;
 };
 
-/// The limits of a port of an instance with `aMemoryBytes`.
+/// The limits of a port of an instance with `aMemoryBytes` and
+/// `aMaxFileDescriptors`. The connections of all ports together leave more than
+/// a quarter of the descriptors for connections to servers.
 ///
-///     LimitsFor(ListenerRole::Callers, 256 << 20).memory.totalBytes  // 64 MiB
-[[nodiscard]] ListenerLimits LimitsFor(ListenerRole aRole,
-                                       std::size_t aMemoryBytes) noexcept;
+///     LimitsFor(ListenerRole::Callers, 256 << 20, 4096).maxConnections  //
+///     2048
+[[nodiscard]] ListenerLimits LimitsFor(
+  ListenerRole aRole,
+  std::size_t aMemoryBytes,
+  std::size_t aMaxFileDescriptors) noexcept;
 
 } // namespace bronzedeal::gateway
--- a/src/gateway/http_connection.hpp
+++ b/src/gateway/http_connection.hpp
@@ -23,6 +23,7 @@
     , acceptor(aProcess.context)
     , handler(std::move(aHandler))
     , memory(aListenerLimits.memory)
+    , maxConnections(aListenerLimits.maxConnections)
   {
   }
 
@@ -35,6 +36,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   RequestHandler handler;
   MemoryBudget memory;
+  std::size_t maxConnections;
   CallerLimits limits;
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t busyConnections = 0;
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-/// Maximum number of open connections; leaves file descriptors for connections
-/// to servers.
-constexpr std::size_t kMaxConnections = 2048;
 /// Delay before the next accept after a failed one.
 constexpr auto kAcceptRetryDelay = milliseconds(20);
 
@@ -63,7 +60,7 @@
 {
   // Above the limit the socket is closed at once, so that the caller tries
   // another instance.
-  if (connections.size() < kMaxConnections) {
+  if (connections.size() < maxConnections) {
     auto connection =
       std::make_shared<Connection>(shared_from_this(), std::move(aSocket));
     connections.insert(connection);
@@ -78,7 +75,9 @@
   : mImpl(
       std::make_shared<Impl>(aProcess,
                              std::move(aHandler),
-                             LimitsFor(aRole, aProcess.settings.memoryBytes)))
+                             LimitsFor(aRole,
+                                       aProcess.settings.memoryBytes,
+                                       aProcess.settings.maxFileDescriptors)))
 {
   mImpl->acceptor.open(aAddress.protocol());
   mImpl->acceptor.set_option(tcp::acceptor::reuse_address(true));
--- a/src/gateway/listener_limits.cpp
+++ b/src/gateway/listener_limits.cpp
@@ -1,5 +1,6 @@
 #include "bronzedeal/gateway/listener_limits.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace bronzedeal::gateway {
@@ -12,29 +13,34 @@
 /// more of what is free than the response of a server.
 constexpr std::size_t kFreeDivisor = 2;
 
-struct Shares
+/// A limit is what the instance has divided by these.
+struct Divisors
 {
-  /// The limit is the instance's memory divided by this.
-  std::size_t memoryDivisor;
+  std::size_t memory;
+  std::size_t connections;
 };
 
 /// In the order of `ListenerRole`.
-constexpr std::array<Shares, 5> kShares{ {
-  { 4 },
-  { 8 },
-  { 64 },
-  { 64 },
-  { 64 },
+constexpr std::array<Divisors, 5> kDivisors{ {
+  { .memory = 4, .connections = 2 },
+  { .memory = 8, .connections = 8 },
+  { .memory = 64, .connections = 16 },
+  { .memory = 64, .connections = 64 },
+  { .memory = 64, .connections = 64 },
 } };
 
 } // namespace
 
-ListenerLimits LimitsFor(ListenerRole aRole, std::size_t aMemoryBytes) noexcept
+ListenerLimits LimitsFor(ListenerRole aRole,
+                         std::size_t aMemoryBytes,
+                         std::size_t aMaxFileDescriptors) noexcept
 {
-  const auto& shares = kShares.at(static_cast<std::size_t>(aRole));
-  return { .memory = { .totalBytes = aMemoryBytes / shares.memoryDivisor,
+  const auto& divisors = kDivisors.at(static_cast<std::size_t>(aRole));
+  return { .memory = { .totalBytes = aMemoryBytes / divisors.memory,
                        .smallBytes = kSmallRequestBytes,
-                       .freeDivisor = kFreeDivisor } };
+                       .freeDivisor = kFreeDivisor },
+           .maxConnections = std::max<std::size_t>(
+             1, aMaxFileDescriptors / divisors.connections) };
 }
 
 } // namespace bronzedeal::gateway
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -219,20 +219,25 @@
   EXPECT_EQ(memory.UsedBytes(), 0U);
 }
 
-// Guards against ports whose clients could together hold more than the memory
-// of the instance leaves beside the responses of servers.
-TEST(ListenerLimits, LeaveHalfOfTheMemory)
+// Guards against ports whose clients could together hold what the instance
+// needs for servers.
+TEST(ListenerLimits, LeaveRoomForServers)
 {
   constexpr std::size_t kMemoryBytes = std::size_t{ 160 } << 20;
-  std::size_t total = 0;
+  constexpr std::size_t kDescriptors = 4100;
+  std::size_t memoryBytes = 0;
+  std::size_t connections = 0;
   for (const auto it : { ListenerRole::Callers,
                          ListenerRole::Instances,
                          ListenerRole::Addresses,
                          ListenerRole::Readiness,
                          ListenerRole::Metrics }) {
-    total += LimitsFor(it, kMemoryBytes).memory.totalBytes;
+    const auto limits = LimitsFor(it, kMemoryBytes, kDescriptors);
+    memoryBytes += limits.memory.totalBytes;
+    connections += limits.maxConnections;
   }
-  EXPECT_LE(total, kMemoryBytes / 2);
+  EXPECT_LE(memoryBytes, kMemoryBytes / 2);
+  EXPECT_LE(connections, kDescriptors * 3 / 4);
 }
 
 // Guards against queries that all wait for the same overloaded shards (scale-1
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -249,6 +249,12 @@
             it.work_s = 0
         self.assert_holds()
 
+    def test_connections_to_all_ports(self):
+        """Guards against connections that leave no descriptors for servers."""
+        for port in PORTS:
+            self.crowd(port, 100)
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
