Close what waits longest for its client when a port is full

Callers saw: clients that open connections and send nothing, or never finish a request, hold all connections of a port. Ordinary callers are closed at once until the idle time (15 s) or the time of a request (3 s) is over, and the crowd comes again.

Cause: a full port refused whoever came last.

Change: each port knows its connections that wait for their clients: without a whole request, or with a reply that isn't taken, by when the wait began. A full port closes the first of these, and admits the newcomer. Requests in progress are never closed for it; a port full of those refuses as before. A caller whose idle connection closes comes again, as after any close of an idle connection. `bronzedeal_connections_shed_total` counts it.

--- a/include/bronzedeal/process/metrics.hpp
+++ b/include/bronzedeal/process/metrics.hpp
@@ -52,6 +52,7 @@
   ListsIncomplete,
   RequestsShed,
   RepliesShed,
+  ConnectionsShed,
   Count,
 };
 
--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -155,6 +155,7 @@
   mRequestStarted = false;
   mIdleSince = steady_clock::now();
   RestartTimer(mListener->limits.idleTimeout);
+  EnterWaitList(mListener->awaitingRequest);
 }
 
 void HttpListener::Connection::ResetParser()
@@ -258,6 +259,7 @@
     ResetParser();
     mReceivedAt = steady_clock::now();
     RestartTimer(mListener->limits.headerTimeout);
+    EnterWaitList(mListener->awaitingRequest);
   }
   error_code ec;
   while (!mReadBuffer.empty() && !mParser->is_done()) {
@@ -290,6 +292,7 @@
 {
   auto& process = mListener->process;
   process.timers.Cancel(mTimer);
+  LeaveWaitList();
   CallerRequest request;
   request.message = mParser->release();
   mParser.reset();
@@ -406,6 +409,7 @@
       Close();
       return;
     }
+    EnterWaitList(mListener->awaitingReader);
   }
   mSocket.async_wait(
     tcp::socket::wait_write,
@@ -454,12 +458,28 @@
   mReplyStarted = false;
 }
 
+void HttpListener::Connection::EnterWaitList(std::list<Connection*>& aList)
+{
+  LeaveWaitList();
+  mWaitPosition = aList.insert(aList.end(), this);
+  mWaitList = &aList;
+}
+
+void HttpListener::Connection::LeaveWaitList()
+{
+  if (mWaitList != nullptr) {
+    mWaitList->erase(mWaitPosition);
+    mWaitList = nullptr;
+  }
+}
+
 void HttpListener::Connection::Close()
 {
   if (!mIsOpen) {
     return;
   }
   mIsOpen = false;
+  LeaveWaitList();
   EndRequest();
   mListener->process.timers.Cancel(mTimer);
   error_code ec;
--- a/src/gateway/http_connection.hpp
+++ b/src/gateway/http_connection.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <list>
 #include <memory>
 #include <optional>
 #include <set>
@@ -31,6 +32,9 @@
   /// Accepts the connections that wait in the kernel.
   void AcceptArrived();
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
+  /// Closes the connection whose client has kept it waiting for longest; false
+  /// if there is none.
+  bool CloseLongestWaiting();
 
   Process& process;
   boost::asio::ip::tcp::acceptor acceptor;
@@ -39,6 +43,10 @@
   std::size_t maxConnections;
   CallerLimits limits;
   std::set<std::shared_ptr<Connection>> connections;
+  /// Connections without a whole request, and those with a reply that the
+  /// client has not taken, by when they began to wait.
+  std::list<Connection*> awaitingRequest;
+  std::list<Connection*> awaitingReader;
   std::size_t busyConnections = 0;
   bool draining = false;
 };
@@ -74,6 +82,8 @@
   /// True if a request is in progress or has arrived in part.
   [[nodiscard]] bool HasRequest() const noexcept { return mRequestStarted; }
 
+  void Close();
+
 private:
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -110,13 +120,18 @@
   void Write(std::size_t aFrom);
   void OnWritten();
   void EndRequest();
-  void Close();
+  /// Moves to the end of a list of connections that wait for their clients.
+  void EnterWaitList(std::list<Connection*>& aList);
+  void LeaveWaitList();
 
   std::shared_ptr<Impl> mListener;
   boost::asio::ip::tcp::socket mSocket;
   std::optional<Parser> mParser;
   std::shared_ptr<Exchange> mExchange;
   MemoryBudget::Charge mCharge;
+  /// The list that holds this connection, or null.
+  std::list<Connection*>* mWaitList = nullptr;
+  std::list<Connection*>::iterator mWaitPosition;
   TimerQueue::Handle mTimer;
   /// Limit of the bytes that the parser can't take yet.
   std::size_t mMaxUnparsedBytes = 0;
--- a/src/gateway/http_listener.cpp
+++ b/src/gateway/http_listener.cpp
@@ -58,14 +58,26 @@
 
 void HttpListener::Impl::OnAccepted(tcp::socket aSocket)
 {
-  // Above the limit the socket is closed at once, so that the caller tries
-  // another instance.
-  if (connections.size() < maxConnections) {
-    auto connection =
-      std::make_shared<Connection>(shared_from_this(), std::move(aSocket));
-    connections.insert(connection);
-    connection->Start();
+  // While all connections have requests in progress, the socket is closed at
+  // once, so that the caller tries another instance.
+  if (connections.size() >= maxConnections && !CloseLongestWaiting()) {
+    return;
+  }
+  auto connection =
+    std::make_shared<Connection>(shared_from_this(), std::move(aSocket));
+  connections.insert(connection);
+  connection->Start();
+}
+
+bool HttpListener::Impl::CloseLongestWaiting()
+{
+  const auto& list = awaitingRequest.empty() ? awaitingReader : awaitingRequest;
+  if (list.empty()) {
+    return false;
   }
+  process.metrics.Add(process::Counter::ConnectionsShed);
+  list.front()->Close();
+  return true;
 }
 
 HttpListener::HttpListener(Process& aProcess,
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -73,6 +73,9 @@
     "Requests refused because others hold the memory of their port" },
   { "bronzedeal_replies_shed_total",
     "Replies cut because others hold the memory of their port" },
+  { "bronzedeal_connections_shed_total",
+    "Connections closed to admit others while their clients kept them "
+    "waiting" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGaugeDescriptions{ {
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -255,6 +255,25 @@
             self.crowd(port, 100)
         self.assert_holds()
 
+    def test_idle_connections(self):
+        """Guards against idle connections that keep ordinary callers out."""
+        for port in PORTS:
+            self.crowd(port, 300)
+            self.assert_holds()
+            self.assertTrue(self.world.wait(self.instance.ready))
+            self.assertTrue(self.world.wait(
+                lambda: self.world.addresses(self.instance)))
+
+    def test_unfinished_requests(self):
+        """Guards against unfinished requests that keep ordinary callers out."""
+        for port in PORTS:
+            clients = self.crowd(port, 300)
+            clients.send([b"GET /read/1 HTTP/1.1\r\n"] * 300)
+            self.assert_holds()
+            self.assertTrue(self.world.wait(self.instance.ready))
+            self.assertTrue(self.world.wait(
+                lambda: self.world.addresses(self.instance)))
+
 
 if __name__ == "__main__":
     unittest.main()
