Bound the time in which a caller takes its reply

Callers saw: a client that reads a few kilobytes now and then holds a connection and the reply for good. The kernel ends connections whose window stays closed for 5 s, but not this one.

Cause: a request has a time limit and an idle connection has one, a reply had none.

Change: a reply that doesn't fit into the connection at once must have been taken by the caller's own deadline (30 s at most), or within the idle time of the configuration if that is longer. Then the connection closes, which is counted in `bronzedeal_replies_shed_total`.

--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -35,6 +35,8 @@
 constexpr int kAddressLookupRoundTrips = 2;
 /// A caller that states a longer time is taken to wait for this long.
 constexpr milliseconds kMaxTimeLeft = std::chrono::hours(24);
+/// A caller that states a longer time must have taken its reply by then.
+constexpr milliseconds kMaxReplyTime = std::chrono::seconds(30);
 /// Number of requests of one connection that are answered before the exit.
 constexpr std::size_t kMaxConcludedRequests = 16;
 /// A string that grows may take this multiple of its size.
@@ -171,23 +173,30 @@
 }
 
 void HttpListener::Connection::RestartTimer(milliseconds aWait)
+{
+  RestartTimer(steady_clock::now() + aWait);
+}
+
+void HttpListener::Connection::RestartTimer(TimePoint aWhen)
 {
   auto& timers = mListener->process.timers;
   timers.Cancel(mTimer);
-  mTimer =
-    timers.Schedule(steady_clock::now() + aWait, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->mTimer = {};
-        self->OnTimeout();
-      }
-    });
+  mTimer = timers.Schedule(aWhen, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->mTimer = {};
+      self->OnTimeout();
+    }
+  });
 }
 
 void HttpListener::Connection::OnTimeout()
 {
   const auto now = steady_clock::now();
   const auto idleEnd = mIdleSince + mListener->limits.idleTimeout;
-  if (mRequestStarted) {
+  if (IsAwaitingReader()) {
+    mListener->process.metrics.Add(process::Counter::RepliesShed);
+    Close();
+  } else if (mRequestStarted) {
     RejectUnreadable(408);
   } else if (now < idleEnd) {
     // The timeout has been raised meanwhile.
@@ -309,6 +318,8 @@
       mReceivedAt +
       std::clamp(milliseconds(*timeLeftMs), milliseconds(0), kMaxTimeLeft);
   }
+  mReplyDeadline = std::min(request.callerDeadline.value_or(mReceivedAt),
+                            mReceivedAt + kMaxReplyTime);
   mCloseAfterReply = !request.message.keep_alive();
   mIsHeadRequest = request.message.method() == http::verb::head;
   mRequestInProgress = true;
@@ -400,7 +411,7 @@
     OnWritten();
     return;
   }
-  if (aFrom == 0) {
+  if (!IsAwaitingReader()) {
     // The reply stays until the caller reads it; the request is done.
     ForgetRequest();
     mReplyBytes = mWriteBuffer.size();
@@ -410,6 +421,8 @@
       return;
     }
     EnterWaitList(mListener->awaitingReader);
+    RestartTimer(std::max(mReplyDeadline,
+                          steady_clock::now() + mListener->limits.idleTimeout));
   }
   mSocket.async_wait(
     tcp::socket::wait_write,
--- a/src/gateway/http_connection.hpp
+++ b/src/gateway/http_connection.hpp
@@ -93,6 +93,7 @@
   void BeginRequest();
   void ResetParser();
   void RestartTimer(milliseconds aWait);
+  void RestartTimer(TimePoint aWhen);
   void OnTimeout();
   void WaitReadable();
   /// True if bytes of a further request were read together with the last one.
@@ -123,6 +124,10 @@
   /// Moves to the end of a list of connections that wait for their clients.
   void EnterWaitList(std::list<Connection*>& aList);
   void LeaveWaitList();
+  [[nodiscard]] bool IsAwaitingReader() const noexcept
+  {
+    return mWaitList == &mListener->awaitingReader;
+  }
 
   std::shared_ptr<Impl> mListener;
   boost::asio::ip::tcp::socket mSocket;
@@ -144,6 +149,8 @@
   std::string mReadBuffer;
   std::string mWriteBuffer;
   TimePoint mReceivedAt{};
+  /// Time until which the caller may take its reply.
+  TimePoint mReplyDeadline{};
   TimePoint mIdleSince{};
   bool mIsHeaderCounted = false;
   bool mIsOpen = true;
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -274,6 +274,22 @@
             self.assertTrue(self.world.wait(
                 lambda: self.world.addresses(self.instance)))
 
+    def test_replies_that_are_taken_slowly(self):
+        """Guards against connections that a client holds for good by reading
+        little at a time."""
+        self.set_limits({**LIMITS, "idle-timeout-ms": 1000})
+        self.answer_with(MEBIBYTE)
+        clients = self.crowd("front", 4, receive_buffer=65536)
+        self.exchange_one_by_one(clients, 20, requests=8)
+        self.answer_with(48)
+
+        def are_closed():
+            clients.read(4096)
+            return self.instance.connection_count("front") == 0
+
+        self.assertTrue(self.world.wait(are_closed))
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
