Bound the names that gossip brings

Callers saw: anybody who reaches the port between instances can send datagrams with states of invented instances. With names of 60 KB, 1,500 of them take 90 MB, and up to 4,096 are kept for good. The process spends its time on copies of them: the test took 26 s on and 5 s after.

Cause: the table bounded the number of states, and what later versions add to one, but not the names of the instance and of its failure domain.

Change: a datagram with a name above 255 bytes is refused like any malformed one.

Evidence: test_forged_gossip (1,500 datagrams, 64 MB of memory) reached 110 MB on; 6 MB with the change.

--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kReachPercentField = 8;
 constexpr std::size_t kCapabilitiesField = 9;
 constexpr std::size_t kKnownFieldCount = 10;
+/// Bounds the name of an instance or a failure domain.
+constexpr std::size_t kMaxNameBytes = 255;
 /// Bounds what later versions can make this one keep of each instance.
 constexpr std::size_t kMaxLaterFieldsBytes = 512;
 constexpr unsigned kFullReachPercent = 100;
@@ -270,7 +272,8 @@
       boost::asio::ip::make_address(f[0].get_string().c_str(), ec);
     state.instance = f[1].get_string();
     state.failureDomain = f[2].get_string();
-    if (ec) {
+    if (ec || state.instance.size() > kMaxNameBytes ||
+        state.failureDomain.size() > kMaxNameBytes) {
       return false;
     }
     state.incarnation = f[3].to_number<std::uint64_t>(ec);
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -290,6 +290,19 @@
         self.assertTrue(self.world.wait(are_closed))
         self.assert_holds()
 
+    def test_forged_gossip(self):
+        """Guards against datagrams that fill the table of instances, with
+        their text or by their number."""
+        host, port = self.address("inner").split(":")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for n in range(1500):
+                state = ["127.%d.%d.1" % (100 + n // 250, n % 250),
+                         "x" * 60000, "z", n + 1, 1, 0.5, 0, 0]
+                sender.sendto(json.dumps([state]).encode(), (host, int(port)))
+                if n % 2 == 0:
+                    self.instance.ready()  # What was sent has been read.
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
