Replace silent instances in a full gossip table

Callers saw: nothing yet. 4,096 invented states, small ones, fill the table of instances for good: no instance that starts later is known any more, so that callers aren't sent to it and limits are divided wrongly.

Cause: the table was bounded, but nothing left it.

Change: a full table gives up the instance that has been silent for longest, if that one counts as dead. Instances that count as alive are kept.

Evidence: PeerTable.ReplacesSilentInstancesWhenItIsFull failed before (1 instance known, 3 expected) and passes. States invented at a rate that keeps 4,096 alive still keep others out: gossip has no proof of origin, and the port between instances must not be open to clients.

--- a/include/bronzedeal/gateway/peer_table.hpp
+++ b/include/bronzedeal/gateway/peer_table.hpp
@@ -130,6 +130,8 @@
   };
 
   [[nodiscard]] bool IsAlive(const Entry& aEntry, TimePoint aNow) const;
+  /// Makes room for another instance; false if all are alive.
+  bool RemoveLongestSilent(TimePoint aNow);
 
   PeerState mSelf;
   Options mOptions;
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -135,7 +135,7 @@
     }
     const auto known = mPeers.find(it.address);
     if (known == mPeers.end()) {
-      if (mPeers.size() < kMaxPeerCount) {
+      if (mPeers.size() < kMaxPeerCount || RemoveLongestSilent(aNow)) {
         mPeers.emplace(it.address, Entry{ it, aNow });
       }
     } else if (IsNewer(it, known->second.state)) {
@@ -146,6 +146,19 @@
   }
 }
 
+bool PeerTable::RemoveLongestSilent(TimePoint aNow)
+{
+  const auto it = std::min_element(
+    mPeers.begin(), mPeers.end(), [](auto& aLeft, auto& aRight) {
+      return aLeft.second.lastHeartbeatAt < aRight.second.lastHeartbeatAt;
+    });
+  if (it == mPeers.end() || IsAlive(it->second, aNow)) {
+    return false;
+  }
+  mPeers.erase(it);
+  return true;
+}
+
 std::vector<boost::asio::ip::address> PeerTable::PickTargets(
   std::size_t aSameDomainCount,
   std::size_t aCrossDomainCount,
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -286,6 +286,24 @@
   EXPECT_EQ(table.AliveInstances(At(2100)).size(), 1U);
 }
 
+// Guards against a table full of instances that no longer exist, or never did,
+// which would keep out each new one.
+TEST(PeerTable, ReplacesSilentInstancesWhenItIsFull)
+{
+  PeerTable table(Peer(1), {});
+  for (unsigned n = 0; n < 5000; ++n) {
+    auto invented = Peer(2);
+    invented.address = boost::asio::ip::address_v4(0x0b000000 + n);
+    table.Merge({ invented }, At(n / 1000));
+  }
+  const auto full = table.AliveInstances(At(10)).size();
+  EXPECT_LT(full, 5000U);
+  table.Merge({ Peer(2) }, At(10));
+  EXPECT_EQ(table.AliveInstances(At(10)).size(), full);
+  table.Merge({ Peer(2), Peer(3) }, At(7000));
+  EXPECT_EQ(table.AliveInstances(At(7000)).size(), 3U);
+}
+
 // Guards against an instance that the others ignore after a restart, because
 // its clock was set back and its new incarnation is lower.
 TEST(PeerTable, RaisesItsIncarnationAboveAFormerRun)
