Keep no groups that only a query of another instance names

Callers saw: anybody who reaches the port between instances can send partial queries with invented groups. Each name stays for good with its state: 400 queries with 5,000 names each took 284 MB.

Cause: a partial query looked its groups up with the call that creates them, which is meant for names from the metadata service.

Change: a partial query only finds groups. One that is unknown here has no usable server here either, and is left out of the answer, which tells the other instance to send that part itself, as before.

The tests of partial queries pass.

--- a/include/bronzedeal/gateway/server_registry.hpp
+++ b/include/bronzedeal/gateway/server_registry.hpp
@@ -68,7 +68,11 @@
   /// number of instances.
   void ApplyConnectionLimits(const RouteTable& aTable, unsigned aInstanceCount);
 
+  /// Returns the group of that name; null if it is unknown.
+  [[nodiscard]] GroupState* FindGroup(const std::string& aName) const;
+
   /// Returns the group of that name, creating an empty one if it is unknown.
+  /// For names from the metadata service only, as groups are kept for good.
   [[nodiscard]] GroupState& FindOrCreateGroup(const std::string& aName);
 
   /// Returns the usable server of the group with the lowest cost, except those
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -65,7 +65,11 @@
   mIsHedge = aPartial.isHedge;
   mSoftDeadline = mRequest.caller.receivedAt + aPartial.answerTimeout;
   for (const auto& it : aPartial.shards) {
-    ShardState shard{ .group = &mContext.servers.FindOrCreateGroup(it.group) };
+    auto* group = mContext.servers.FindGroup(it.group);
+    if (group == nullptr) {
+      continue; // The requesting instance sends the request itself.
+    }
+    ShardState shard{ .group = group };
     for (const auto& id : it.servers) {
       if (const auto server = mContext.servers.Find(id)) {
         shard.allowedServers.push_back(server.get());
--- a/src/gateway/server_registry.cpp
+++ b/src/gateway/server_registry.cpp
@@ -276,6 +276,12 @@
   }
 }
 
+GroupState* ServerRegistry::FindGroup(const std::string& aName) const
+{
+  const auto it = mGroups.find(aName);
+  return it == mGroups.end() ? nullptr : it->second.get();
+}
+
 GroupState& ServerRegistry::FindOrCreateGroup(const std::string& aName)
 {
   auto& group = mGroups[aName];
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -303,6 +303,20 @@
                     self.instance.ready()  # What was sent has been read.
         self.assert_holds()
 
+    def test_queries_for_unknown_groups(self):
+        """Guards against names in queries of instances that are kept for good.
+        """
+        clients = self.crowd("inner", 4)
+        for n in range(100):
+            fields = [(
+                "X-Bronzedeal-Partial: 5 1 100 100 0",
+                "X-Bronzedeal-Shards: " + " ".join(
+                    "%d-%d-%d=x" % (n, client, it) for it in range(5000)))
+                for client in range(4)]
+            clients.send([self.heads(1, fields=it)[0] for it in fields])
+            clients.read(20)
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
