Bound the times that queries between instances state

Callers saw: nothing yet. A partial query or a query for metadata may state that it waits for years; it holds a connection of the port between instances, and one of the 256 places of waiting queries, until its client closes. Times near the range of the type overflow.

Cause: the times were taken as they came.

Change: a partial query ends within 60 s, a query for metadata waits for 30 s at most. Instances ask for parts of a second.

--- a/include/bronzedeal/gateway/partial_query.hpp
+++ b/include/bronzedeal/gateway/partial_query.hpp
@@ -16,6 +16,9 @@
   std::vector<ServerId> servers;
 };
 
+/// A partial query ends within this time, whatever it states.
+inline constexpr milliseconds kMaxPartialTime = std::chrono::seconds(60);
+
 /// The part of a fan-out query that another instance runs and merges because
 /// the shards' servers are in its failure domain. Only the merged records cross
 /// between failure domains, instead of the whole answer of each shard.
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -575,8 +575,10 @@
   route->priority = aQuery.priority;
   route->topRecords = aQuery.topRecords;
   RoutedRequest request;
-  request.deadline = aRequest.callerDeadline.value_or(
-    aRequest.receivedAt + aQuery.answerTimeout + kAnswerMargin);
+  request.deadline =
+    std::min(aRequest.callerDeadline.value_or(
+               aRequest.receivedAt + aQuery.answerTimeout + kAnswerMargin),
+             aRequest.receivedAt + kMaxPartialTime);
   request.caller = std::move(aRequest);
   request.route = std::move(route);
   auto exchange = std::make_shared<FanoutExchange>(
--- a/src/gateway/partial_query.cpp
+++ b/src/gateway/partial_query.cpp
@@ -82,8 +82,8 @@
   PartialQuery query;
   query.topRecords = static_cast<std::size_t>(numbers[0]);
   query.priority = static_cast<unsigned>(numbers[1]);
-  query.answerTimeout = milliseconds(numbers[2]);
-  query.objective = milliseconds(numbers[3]);
+  query.answerTimeout = std::min(milliseconds(numbers[2]), kMaxPartialTime);
+  query.objective = std::min(milliseconds(numbers[3]), kMaxPartialTime);
   query.isHedge = numbers[4] != 0;
   for (const auto it : Split(aRequest[kShardsHeader], ' ')) {
     const auto fields = Split(it, '=');
--- a/src/gateway/relay_message.cpp
+++ b/src/gateway/relay_message.cpp
@@ -2,6 +2,7 @@
 
 #include "bronzedeal/gateway/route_codec.hpp"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -19,6 +20,9 @@
 /// configuration version and wait in milliseconds, separated by spaces.
 constexpr const char* kQueryHeader = "X-Bronzedeal-Metadata-After";
 
+/// A query may wait this long for a change; an instance asks for less.
+constexpr milliseconds kMaxWait = std::chrono::seconds(30);
+
 /// Removes a number and the space after it from the start of the text; nothing
 /// when the text doesn't begin with a number.
 std::optional<std::uint64_t> TakeNumber(std::string_view& aText)
@@ -122,7 +126,8 @@
                      *epoch,
                      *after,
                      *version,
-                     milliseconds(*wait) };
+                     milliseconds(std::min<std::uint64_t>(
+                       *wait, static_cast<std::uint64_t>(kMaxWait.count()))) };
 }
 
 std::string EncodeRelayReply(const RelayReply& aReply)
--- a/tests/gateway/partial_test.cpp
+++ b/tests/gateway/partial_test.cpp
@@ -284,6 +284,20 @@
   EXPECT_FALSE(DecodePartialQuery(request));
 }
 
+// Guards against a connection of the port between instances that a query holds
+// for years, and against times that overflow.
+TEST(PartialQuery, EndsWithinABoundedTime)
+{
+  auto request = TestGateway::Request("/x").message;
+  request.set("X-Bronzedeal-Shards", "g1=s-1");
+  request.set("X-Bronzedeal-Partial",
+              "5 0 9223372036854775807 9223372036854775807 0");
+  const auto decoded = DecodePartialQuery(request);
+  ASSERT_TRUE(decoded);
+  EXPECT_LE(decoded->answerTimeout, std::chrono::minutes(1));
+  EXPECT_LE(decoded->objective, std::chrono::minutes(1));
+}
+
 // Guards against servers that work on for a caller that has left, because the
 // instance that gathered their shards has already sent its partial answer
 // (scale-1 of ondt-devis-large: 24 of 25 requests ran on).
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -4,6 +4,7 @@
 #include "bronzedeal/gateway/metadata_relay.hpp"
 #include "bronzedeal/gateway/relayed_source.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <set>
@@ -442,4 +443,19 @@
   EXPECT_EQ(fixture.service.watchCount, 1);
 }
 
+// Guards against a connection of the port between instances that a query holds
+// for years, and against times that overflow.
+TEST(RelayQuery, WaitsForABoundedTime)
+{
+  auto request = TestGateway::Request("/metadata").message;
+  for (const auto* it :
+       { "60000", "9223372036854775807", "18446744073709551615" }) {
+    request.set("X-Bronzedeal-Metadata-After", fmt::format("0 1 2 3 {}", it));
+    const auto decoded = DecodeRelayQuery(request);
+    ASSERT_TRUE(decoded) << it;
+    EXPECT_LE(decoded->wait, std::chrono::seconds(30)) << it;
+    EXPECT_GE(decoded->wait, milliseconds(0)) << it;
+  }
+}
+
 } // namespace bronzedeal::gateway::test
