Bound the log's buffer by bytes

Callers saw: while nobody reads the log, lines with long ids of callers fill the memory. An id of 60 KB of bytes that are escaped takes 360 KB in a line; 4,096 lines may wait.

Cause: the buffer was bounded by its number of lines, and lines hold text of callers.

Change: the lines that wait hold 2 MiB together, 512 bytes each at 4,096 lines; further ones are dropped and counted as before.

--- a/include/bronzedeal/gateway/decision_log.hpp
+++ b/include/bronzedeal/gateway/decision_log.hpp
@@ -32,8 +32,10 @@
   /// Writes one or more whole lines; may block. Called on the writer thread.
   using Sink = std::function<void(std::string_view)>;
 
-  /// Capacity of the buffer, in lines.
+  /// Capacity of the buffer, in lines and in bytes. Lines hold text of callers,
+  /// so that their number alone bounds nothing.
   static constexpr std::size_t kMaxBufferedLines = 4096;
+  static constexpr std::size_t kMaxBufferedBytes = std::size_t{ 2 } << 20;
   static constexpr std::chrono::milliseconds kMaxFlushTime{ 300 };
 
   explicit DecisionLog(std::string aInstance, Sink aSink = {});
--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -80,6 +80,7 @@
   std::condition_variable wakeWriter;
   std::condition_variable wakeDestructor;
   std::deque<std::string> bufferedLines;
+  std::size_t bufferedBytes = 0;
   bool isStopping = false;
   bool hasStopped = false;
 };
@@ -118,10 +119,12 @@
   line += "}\n";
   {
     const std::lock_guard lock(mState->mutex);
-    if (mState->bufferedLines.size() >= kMaxBufferedLines) {
+    if (mState->bufferedLines.size() >= kMaxBufferedLines ||
+        mState->bufferedBytes + line.size() > kMaxBufferedBytes) {
       ++mState->droppedCount;
       return;
     }
+    mState->bufferedBytes += line.size();
     mState->bufferedLines.push_back(std::move(line));
     if (mState->bufferedLines.size() > 1) {
       return; // the writer has already been notified
@@ -148,6 +151,7 @@
     }
     std::deque<std::string> batch;
     batch.swap(bufferedLines);
+    bufferedBytes = 0;
     const bool wasStopping = isStopping;
     lock.unlock();
     std::string text;
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -317,6 +317,21 @@
             clients.read(20)
         self.assert_holds()
 
+    def test_long_ids_while_nobody_reads_the_log(self):
+        """Guards against log lines that fill the memory, as their text comes
+        from clients and nobody reads them."""
+        unread, log = os.pipe()
+        self.addCleanup(os.close, unread)
+        self.addCleanup(os.close, log)
+        self.restart(log)
+        head = (b"GET /none/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: "
+                + b"\xff" * 60000 + b"\r\n\r\n")
+        clients = self.crowd("front", 4)
+        for _ in range(100):
+            clients.send([head] * 4)
+            clients.read(20)
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
