Bound the connections to servers by the instance's descriptors

Callers saw: many requests at once open connections to servers until the descriptors are used up; then no port accepts and no server is reached.

Change: an instance opens connections to servers, beyond the first one to each, only while it has fewer than a fifth of `max-fds`: 820 of 4,100. Attempts wait for a connection meanwhile, as they do at a server's own limit.

--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -27,6 +27,7 @@
 #include "bronzedeal/gateway/answer_record.hpp"
 #include "bronzedeal/gateway/backend_server.hpp"
 #include "bronzedeal/gateway/cold_allowance.hpp"
+#include "bronzedeal/gateway/connection_count.hpp"
 #include "bronzedeal/gateway/connection_options.hpp"
 #include "bronzedeal/gateway/content_id.hpp"
 #include "bronzedeal/gateway/crash_notice.hpp"
--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -82,6 +82,7 @@
 class BackendServer;
 class HttpListener;
 class ColdAllowance;
+class ConnectionCount;
 class CrashQuarantine;
 class CutRuns;
 class DecisionLog;
--- /dev/null
+++ b/include/bronzedeal/gateway/connection_count.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+
+namespace bronzedeal::gateway {
+
+/// Counts the connections that one process has opened to others, and says
+/// whether it should open more.
+///
+///     ConnectionCount count(1024);
+///     const ConnectionCount::Holder holder(count); // for each connection
+class ConnectionCount
+{
+public:
+  explicit ConnectionCount(std::size_t aLimit) noexcept
+    : mLimit(aLimit)
+  {
+  }
+
+  /// Counts one connection as long as it exists.
+  class Holder
+  {
+  public:
+    explicit Holder(ConnectionCount& aCount) noexcept
+      : mCount(aCount)
+    {
+      ++mCount.mOpen;
+    }
+    ~Holder() { --mCount.mOpen; }
+    Holder(const Holder&) = delete;
+    Holder& operator=(const Holder&) = delete;
+
+  private:
+    ConnectionCount& mCount;
+  };
+
+  [[nodiscard]] bool HasRoom() const noexcept { return mOpen < mLimit; }
+
+private:
+  std::size_t mLimit;
+  std::size_t mOpen = 0;
+};
+
+} // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/listener_limits.hpp
+++ b/include/bronzedeal/gateway/listener_limits.hpp
@@ -26,6 +26,11 @@
   std::size_t maxConnections = 0;
 };
 
+/// Connections to servers and to other instances that an instance with
+/// `aMaxFileDescriptors` keeps open, beside the first one to each.
+[[nodiscard]] std::size_t MaxServerConnections(
+  std::size_t aMaxFileDescriptors) noexcept;
+
 /// The limits of a port of an instance with `aMemoryBytes` and
 /// `aMaxFileDescriptors`. The connections of all ports together leave more than
 /// a quarter of the descriptors for connections to servers.
--- a/include/bronzedeal/gateway/process.hpp
+++ b/include/bronzedeal/gateway/process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bronzedeal/gateway/connection_count.hpp"
 #include "bronzedeal/gateway/crash_quarantine.hpp"
 #include "bronzedeal/gateway/decision_log.hpp"
 #include "bronzedeal/gateway/fleet_shares.hpp"
@@ -24,6 +25,7 @@
 
   /// Outlives the connections that the context's handlers hold.
   MemoryBudget responseMemory;
+  ConnectionCount serverConnections;
   /// Outlives the requests that the context's handlers hold.
   CrashQuarantine crashQuarantine;
   LinkEvidence linkEvidence;
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bronzedeal/gateway/connection_count.hpp"
 #include "bronzedeal/gateway/connection_options.hpp"
 #include "bronzedeal/gateway/http_message.hpp"
 #include "bronzedeal/gateway/memory_budget.hpp"
@@ -35,6 +36,7 @@
   ServerConnection(boost::asio::io_context& aContext,
                    TimerQueue& aTimers,
                    MemoryBudget& aMemory,
+                   ConnectionCount& aCount,
                    std::size_t aMaxResponseBodyBytes);
 
   void Connect(const boost::asio::ip::tcp::endpoint& aEndpoint,
@@ -99,6 +101,7 @@
   std::string mReadBuffer;
   /// Bytes received of the current response, interim ones included.
   MemoryBudget::Charge mCharge;
+  ConnectionCount::Holder mCountHolder;
   unsigned mInterimCount = 0;
   bool mIsOpen = false;
   bool mIsWriting = false;
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -283,8 +283,10 @@
 bool BackendServer::MayOpenConnection(TimePoint aNow) const noexcept
 {
   const auto openCount = mInFlight.size() + mIdleConnections.size();
-  return openCount + mConnectingCount < mMaxConnections &&
-         (openCount == 0 || aNow >= mNextConnectAt);
+  const auto count = openCount + mConnectingCount;
+  return count < mMaxConnections &&
+         (openCount == 0 || aNow >= mNextConnectAt) &&
+         (count == 0 || mProcess.serverConnections.HasRoom());
 }
 
 bool BackendServer::Preconnect()
@@ -306,10 +308,12 @@
 void BackendServer::OpenConnection()
 {
   ++mConnectingCount;
-  auto connection = std::make_shared<ServerConnection>(mProcess.context,
-                                                       mProcess.timers,
-                                                       mProcess.responseMemory,
-                                                       kMaxResponseBodyBytes);
+  auto connection =
+    std::make_shared<ServerConnection>(mProcess.context,
+                                       mProcess.timers,
+                                       mProcess.responseMemory,
+                                       mProcess.serverConnections,
+                                       kMaxResponseBodyBytes);
   mProcess.metrics.Add(process::Counter::ServerConnections);
   std::weak_ptr<ServerConnection> weak = connection;
   connection->SetIdleCloseHandler([self = weak_from_this(), weak] {
--- a/src/gateway/listener_limits.cpp
+++ b/src/gateway/listener_limits.cpp
@@ -29,8 +29,16 @@
   { .memory = 64, .connections = 64 },
 } };
 
+/// Part of the descriptors that ports leave to connections to servers.
+constexpr std::size_t kServerConnectionDivisor = 5;
+
 } // namespace
 
+std::size_t MaxServerConnections(std::size_t aMaxFileDescriptors) noexcept
+{
+  return aMaxFileDescriptors / kServerConnectionDivisor;
+}
+
 ListenerLimits LimitsFor(ListenerRole aRole,
                          std::size_t aMemoryBytes,
                          std::size_t aMaxFileDescriptors) noexcept
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -1,5 +1,7 @@
 #include "bronzedeal/gateway/process.hpp"
 
+#include "bronzedeal/gateway/listener_limits.hpp"
+
 namespace bronzedeal::gateway {
 
 namespace {
@@ -28,6 +30,7 @@
 Process::Process(Settings aSettings, DecisionLog::Sink aSink)
   : responseMemory(
       { .totalBytes = aSettings.memoryBytes / kResponseMemoryDivisor })
+  , serverConnections(MaxServerConnections(aSettings.maxFileDescriptors))
   , crashQuarantine(
       aSettings.instance,
       CrashQuarantine::Options{},
--- a/src/gateway/relayed_source.cpp
+++ b/src/gateway/relayed_source.cpp
@@ -189,8 +189,11 @@
     SendCall(call);
     return;
   }
-  mConnection = std::make_shared<ServerConnection>(
-    mProcess.context, mProcess.timers, mProcess.responseMemory, kMaxReplyBytes);
+  mConnection = std::make_shared<ServerConnection>(mProcess.context,
+                                                   mProcess.timers,
+                                                   mProcess.responseMemory,
+                                                   mProcess.serverConnections,
+                                                   kMaxReplyBytes);
   mConnection->Connect({ mRelays.at(*mCurrentRelay).address,
                          mProcess.settings.gossipEndpoint.port() },
                        kConnectTimeout,
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -52,11 +52,13 @@
 ServerConnection::ServerConnection(asio::io_context& aContext,
                                    TimerQueue& aTimers,
                                    MemoryBudget& aMemory,
+                                   ConnectionCount& aCount,
                                    std::size_t aMaxResponseBodyBytes)
   : mSocket(aContext)
   , mTimers(aTimers)
   , mMaxResponseBodyBytes(aMaxResponseBodyBytes)
   , mCharge(aMemory)
+  , mCountHolder(aCount)
 {
 }
 
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -227,13 +227,6 @@
         self.answer_with(48)
         self.assert_holds()
 
-    def test_idle_connections_after_great_replies(self):
-        """Guards against buffers that idle connections keep."""
-        self.answer_with(MEBIBYTE)
-        self.exchange_one_by_one(self.crowd("front", 100), MEBIBYTE)
-        self.answer_with(48)
-        self.assert_holds()
-
     def test_requests_behind_one_in_progress(self):
         """Guards against further requests that wait behind one in progress."""
         for n in range(2, 8):
@@ -249,6 +242,13 @@
             it.work_s = 0
         self.assert_holds()
 
+    def test_idle_connections_after_great_replies(self):
+        """Guards against buffers that idle connections keep."""
+        self.answer_with(MEBIBYTE)
+        self.exchange_one_by_one(self.crowd("front", 100), MEBIBYTE)
+        self.answer_with(48)
+        self.assert_holds()
+
     def test_connections_to_all_ports(self):
         """Guards against connections that leave no descriptors for servers."""
         for port in PORTS:
@@ -332,6 +332,25 @@
             clients.read(20)
         self.assert_holds()
 
+    def test_requests_that_open_connections_to_servers(self):
+        """Guards against requests that use up all descriptors for connections
+        to servers."""
+        for it in self.world.servers:
+            it.work_s = 0.5
+        clients = self.crowd("front", 120)
+        clients.send(self.heads(120, "/all/"))
+        reader = threading.Thread(target=clients.read, args=(20,))
+        reader.start()
+        highest = 0
+        while reader.is_alive():
+            highest = max(highest, self.instance.descriptor_count())
+            time.sleep(0.01)
+        reader.join()
+        for it in self.world.servers:
+            it.work_s = 0.004
+        self.assertLessEqual(highest, MAX_DESCRIPTORS)
+        self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
