Bound what the parser of bronzedeald's requests can't take yet

Callers saw: trailers or a chunk extension without end fill the memory of `bronzedeald`, on the port of callers and that of operators, as they did in the gateway.

Cause: the same as there: Beast's parser takes no byte of them before their end, and the buffer of a connection had no limit.

Change: the buffer holds 64 KiB.

--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -28,6 +28,8 @@
 // An idle connection is kept longer than callers keep an address answer, so
 // that the caller closes it and not the server.
 constexpr std::chrono::seconds kIdleTimeout{ 120 };
+/// Bytes of a request that the parser can't take yet.
+constexpr std::size_t kMaxUnparsedBytes = 65'536;
 
 tcp::endpoint ParseEndpoint(const std::string& aAddress)
 {
@@ -246,7 +248,9 @@
 
   beast::tcp_stream mStream;
   std::shared_ptr<HttpServer::Impl> mServer;
-  beast::flat_buffer mBuffer;
+  // The parser limits neither the trailers nor the line of a chunk, and takes
+  // none of their bytes before their end.
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
   bool mKeepAlive = true;
