Bound the connections of bronzedeald's ports

Callers saw: idle connections use up the descriptors of `bronzedeald`, on the port of callers or that of operators. It then accepts nobody, and spends a core on accepts that fail at once.

Cause: connections had no limit, idle ones live for 120 s, and a failed accept was tried again without a pause.

Change: a port holds a quarter of the process's descriptors, 512 at most. A full one closes the connection that has waited for a request for longest, and so does an accept that fails, which is tried again after 20 ms. Running requests are never closed for it.

Evidence: test_idle_connections (400 connections to each port, 256 descriptors) got no answer in 20 s before; it passes. The tests of the daemon library pass.

--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -2,9 +2,11 @@
 
 #include "bronzedeal/http_framing.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -12,8 +14,10 @@
 #include <boost/json/value.hpp>
 #include <boost/url/params_view.hpp>
 #include <boost/url/parse.hpp>
+#include <map>
 #include <mutex>
 #include <optional>
+#include <sys/resource.h>
 #include <unordered_set>
 
 namespace bronzedeal::daemon {
@@ -30,6 +34,20 @@
 constexpr std::chrono::seconds kIdleTimeout{ 120 };
 /// Bytes of a request that the parser can't take yet.
 constexpr std::size_t kMaxUnparsedBytes = 65'536;
+/// Connections of one port: a part of the descriptors, and no more than this.
+constexpr std::size_t kDescriptorDivisor = 4;
+constexpr std::size_t kMaxConnections = 512;
+/// Delay before the next accept after a failed one.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{ 20 };
+
+std::size_t MaxConnections() noexcept
+{
+  rlimit limit{};
+  return ::getrlimit(RLIMIT_NOFILE, &limit) == 0
+           ? std::clamp<std::size_t>(
+               limit.rlim_cur / kDescriptorDivisor, 1, kMaxConnections)
+           : kMaxConnections;
+}
 
 tcp::endpoint ParseEndpoint(const std::string& aAddress)
 {
@@ -78,6 +96,7 @@
        HttpHandler aHandler)
     : context(aContext)
     , acceptor(asio::make_strand(aContext))
+    , acceptTimer(acceptor.get_executor())
     , handler(std::move(aHandler))
   {
     const auto endpoint = ParseEndpoint(aAddress);
@@ -88,15 +107,25 @@
   }
 
   void Accept();
+  void OnAccepted(tcp::socket aSocket);
+  /// Closes the connection that has waited for its caller's request for
+  /// longest; false if there is none.
+  bool CloseLongestWaiting();
 
   asio::io_context& context;
   tcp::acceptor acceptor;
+  asio::steady_timer acceptTimer;
   HttpHandler handler;
   std::atomic<bool> draining{ false };
   std::atomic<bool> stopped{ false };
   std::atomic<std::size_t> runningRequests{ 0 };
+  const std::size_t maxConnections = MaxConnections();
   std::mutex mutex;
   std::unordered_set<Session*> sessions;
+  /// Connections without a whole request, by the order in which they began to
+  /// wait for one.
+  std::map<std::uint64_t, Session*> waiting;
+  std::uint64_t lastWait = 0;
 };
 
 /// One connection of a caller.
@@ -117,6 +146,7 @@
   {
     const std::lock_guard lock(mServer->mutex);
     mServer->sessions.erase(this);
+    mServer->waiting.erase(mWait);
   }
 
   Session(const Session&) = delete;
@@ -137,6 +167,7 @@
 
   void Read()
   {
+    BeginWait();
     mParser.emplace();
     mParser->body_limit(HttpServer::kMaxBodyBytes);
     mStream.expires_after(kIdleTimeout);
@@ -160,9 +191,34 @@
     });
   }
 
+  /// Closes the connection unless a request is running.
+  void CloseIfWaiting()
+  {
+    asio::post(mStream.get_executor(), [self = shared_from_this()] {
+      if (!self->mRequestRunning) {
+        self->Shutdown();
+      }
+    });
+  }
+
 private:
+  void BeginWait()
+  {
+    const std::lock_guard lock(mServer->mutex);
+    mServer->waiting.erase(mWait);
+    mWait = ++mServer->lastWait;
+    mServer->waiting.emplace(mWait, this);
+  }
+
+  void EndWait()
+  {
+    const std::lock_guard lock(mServer->mutex);
+    mServer->waiting.erase(mWait);
+  }
+
   void OnRead(beast::error_code aError, std::size_t /*aBytes*/)
   {
+    EndWait();
     if (!aError && !HasKnownFraming(mParser->get())) {
       aError = http::error::bad_transfer_encoding;
     }
@@ -253,6 +309,8 @@
   beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
+  /// Place in the order of connections that wait; zero before the first wait.
+  std::uint64_t mWait = 0;
   bool mKeepAlive = true;
   bool mRequestRunning = false;
 };
@@ -267,12 +325,50 @@
         return;
       }
       if (!aError) {
-        std::make_shared<Session>(std::move(aSocket), self)->Start();
+        self->OnAccepted(std::move(aSocket));
+        self->Accept();
+        return;
       }
-      self->Accept();
+      // No descriptor is free, for example.
+      self->CloseLongestWaiting();
+      self->acceptTimer.expires_after(kAcceptRetryDelay);
+      self->acceptTimer.async_wait(
+        [self](boost::system::error_code aCancelled) {
+          if (!aCancelled && !self->stopped.load()) {
+            self->Accept();
+          }
+        });
     });
 }
 
+void HttpServer::Impl::OnAccepted(tcp::socket aSocket)
+{
+  bool isFull = false;
+  {
+    const std::lock_guard lock(mutex);
+    isFull = sessions.size() >= maxConnections;
+  }
+  if (!isFull || CloseLongestWaiting()) {
+    std::make_shared<Session>(std::move(aSocket), shared_from_this())->Start();
+  }
+}
+
+bool HttpServer::Impl::CloseLongestWaiting()
+{
+  std::shared_ptr<Session> longest;
+  {
+    const std::lock_guard lock(mutex);
+    while (!longest && !waiting.empty()) {
+      longest = waiting.begin()->second->weak_from_this().lock();
+      waiting.erase(waiting.begin());
+    }
+  }
+  if (longest) {
+    longest->CloseIfWaiting();
+  }
+  return longest != nullptr;
+}
+
 HttpServer::HttpServer(asio::io_context& aContext,
                        const std::string& aAddress,
                        HttpHandler aHandler)
--- a/tests/path/test_misbehaving_callers.py
+++ b/tests/path/test_misbehaving_callers.py
@@ -89,6 +89,13 @@
             self.crowd(port, 8).send([CHUNKED + b"1;"] * 8, b"x" * 65536, 1000)
             self.assert_holds()
 
+    def test_idle_connections(self):
+        """Guards against idle connections that use up the descriptors and keep
+        ordinary callers out."""
+        for port in self.ports:
+            self.crowd(port, 400)
+            self.assert_holds()
+
 
 if __name__ == "__main__":
     unittest.main()
