Bound the memory of bronzedeald's unfinished bodies together

Callers saw: bodies inside the limit of 1 MiB, many at once and never finished, fill the memory of `bronzedeald`.

Cause: the limit held for each request.

Change: once its head is read, a request counts what it announces, or the limit if it comes in chunks, until it is answered. Together these are 48 MiB on a port; bodies up to 16 KiB always pass, as the number of connections bounds them.

The tests of the daemon library pass.

--- a/src/daemon/http_server.cpp
+++ b/src/daemon/http_server.cpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <sys/resource.h>
 #include <unordered_set>
+#include <utility>
 
 namespace bronzedeal::daemon {
 
@@ -34,6 +35,10 @@
 constexpr std::chrono::seconds kIdleTimeout{ 120 };
 /// Bytes of a request that the parser can't take yet.
 constexpr std::size_t kMaxUnparsedBytes = 65'536;
+/// Bodies of the requests of one port that are read or running, together. Small
+/// ones don't count: the number of connections bounds them.
+constexpr std::size_t kMaxBodiesBytes = std::size_t{ 48 } << 20;
+constexpr std::size_t kSmallBodyBytes = 16'384;
 /// Connections of one port: a part of the descriptors, and no more than this.
 constexpr std::size_t kDescriptorDivisor = 4;
 constexpr std::size_t kMaxConnections = 512;
@@ -119,6 +124,7 @@
   std::atomic<bool> draining{ false };
   std::atomic<bool> stopped{ false };
   std::atomic<std::size_t> runningRequests{ 0 };
+  std::atomic<std::size_t> bodiesBytes{ 0 };
   const std::size_t maxConnections = MaxConnections();
   std::mutex mutex;
   std::unordered_set<Session*> sessions;
@@ -147,6 +153,7 @@
     const std::lock_guard lock(mServer->mutex);
     mServer->sessions.erase(this);
     mServer->waiting.erase(mWait);
+    ReleaseBody();
   }
 
   Session(const Session&) = delete;
@@ -171,11 +178,11 @@
     mParser.emplace();
     mParser->body_limit(HttpServer::kMaxBodyBytes);
     mStream.expires_after(kIdleTimeout);
-    http::async_read(
+    http::async_read_header(
       mStream,
       mBuffer,
       *mParser,
-      beast::bind_front_handler(&Session::OnRead, shared_from_this()));
+      beast::bind_front_handler(&Session::OnHeader, shared_from_this()));
   }
 
   /// Closes the connection when no request was read; a partly read request is
@@ -216,6 +223,41 @@
     mServer->waiting.erase(mWait);
   }
 
+  void OnHeader(beast::error_code aError, std::size_t aBytes)
+  {
+    if (aError) {
+      OnRead(aError, aBytes);
+    } else if (!ReserveBody()) {
+      EndWait();
+      Refuse(ErrorResponse(ResultCode::NotRunOverloaded,
+                           "the bodies of other requests hold the memory"));
+    } else {
+      http::async_read(
+        mStream,
+        mBuffer,
+        *mParser,
+        beast::bind_front_handler(&Session::OnRead, shared_from_this()));
+    }
+  }
+
+  /// Counts the body that the header announces; false if there is no room.
+  [[nodiscard]] bool ReserveBody()
+  {
+    const std::size_t bytes = mParser->chunked()
+                                ? HttpServer::kMaxBodyBytes
+                                : mParser->content_length().value_or(0);
+    if (bytes <= kSmallBodyBytes) {
+      return true;
+    }
+    mBodyBytes = bytes;
+    return mServer->bodiesBytes.fetch_add(bytes) + bytes <= kMaxBodiesBytes;
+  }
+
+  void ReleaseBody()
+  {
+    mServer->bodiesBytes.fetch_sub(std::exchange(mBodyBytes, 0));
+  }
+
   void OnRead(beast::error_code aError, std::size_t /*aBytes*/)
   {
     EndWait();
@@ -260,12 +302,18 @@
       return;
     }
     const bool tooLarge = aError == http::error::body_limit;
+    Refuse(ErrorResponse(tooLarge ? ResultCode::BodyTooLarge
+                                  : ResultCode::MalformedHttp,
+                         aError.message()));
+  }
+
+  /// Answers a request that was not read whole, and closes.
+  void Refuse(HttpResponse aResponse)
+  {
     mRequestRunning = true;
     mKeepAlive = false;
     mServer->runningRequests.fetch_add(1);
-    Write(ErrorResponse(tooLarge ? ResultCode::BodyTooLarge
-                                 : ResultCode::MalformedHttp,
-                        aError.message()));
+    Write(std::move(aResponse));
   }
 
   void Write(HttpResponse aResponse)
@@ -288,6 +336,7 @@
   {
     mRequestRunning = false;
     mServer->runningRequests.fetch_sub(1);
+    ReleaseBody();
     if (aError || !mKeepAlive || mServer->stopped.load()) {
       Shutdown();
       return;
@@ -309,6 +358,8 @@
   beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
+  /// Bytes of the body that count in `bodiesBytes`.
+  std::size_t mBodyBytes = 0;
   /// Place in the order of connections that wait; zero before the first wait.
   std::uint64_t mWait = 0;
   bool mKeepAlive = true;
--- a/tests/path/test_misbehaving_callers.py
+++ b/tests/path/test_misbehaving_callers.py
@@ -25,11 +25,14 @@
            b"Transfer-Encoding: chunked\r\n\r\n")
 
 
-class MisbehavingCallersTest(support.ClusterTest):
+class CrowdTest(support.ClusterTest):
+
+    max_descriptors = MAX_DESCRIPTORS
 
     def setUp(self):
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard))
+        resource.setrlimit(resource.RLIMIT_NOFILE,
+                           (self.max_descriptors, hard))
         try:
             super().setUp()
         finally:
@@ -72,10 +75,12 @@
         harness.wait_until(self.is_settled, 20, "that the crowd is read")
         self.assertTrue(self.process.running())
         self.assertLess(self.peak_memory_mb(), MEMORY_MB)
-        self.assertLessEqual(self.descriptor_count(), MAX_DESCRIPTORS)
+        self.assertLessEqual(self.descriptor_count(), self.max_descriptors)
         harness.wait_until(self.is_served, 20, "an answer")
         self.assertTrue(self.process.running())
 
+
+class MisbehavingCallersTest(CrowdTest):
     def test_trailers_without_end(self):
         """Guards against trailers that fill the memory."""
         for port in self.ports:
@@ -97,5 +102,19 @@
             self.assert_holds()
 
 
+class UnfinishedBodiesTest(CrowdTest):
+    """The same with descriptors enough for many connections."""
+
+    max_descriptors = 4096
+
+    def test_bodies_that_do_not_end(self):
+        """Guards against unfinished bodies that together fill the memory."""
+        head = (b"POST /v1/query HTTP/1.1\r\nHost: x\r\n"
+                b"Content-Length: %d\r\n\r\n" % MEBIBYTE)
+        for port in self.ports:
+            self.crowd(port, 200).send([head] * 200, b"x" * (MEBIBYTE - 1), 1)
+            self.assert_holds()
+
+
 if __name__ == "__main__":
     unittest.main()
