Close silent connections to the port of bronzedeald's peers

Callers saw: 300 idle connections to the port between instances use up the descriptors of `bronzedeald`; callers and operators are no longer accepted. They live for two minutes without a handshake, and without limit with one.

Cause: gRPC's defaults. A server has no limit on connections, a handshake may take 120 s, and a connection without a stream is kept.

Change: a connection without a handshake or a stream closes after 3 s. A peer opens its stream at once and keeps it. The library offers no limit on the number of connections; clients that open streams can still hold descriptors.

Evidence: test_idle_connections_to_the_port_of_peers (300 connections, silent ones and then ones with a handshake, 256 descriptors) got no answer in 20 s before; it passes. The tests of the connection library pass.

--- a/src/connection/peer_transport.cpp
+++ b/src/connection/peer_transport.cpp
@@ -26,6 +26,9 @@
 /// free sockets; more of them would count against the control-plane budget of
 /// 12 KB/s.
 constexpr int kKeepAliveTimeMs = 30000;
+/// Time after which a connection without a handshake or a stream closes. A peer
+/// opens its stream at once and keeps it.
+constexpr int kMaxSilenceMs = 3000;
 /// Allows a configuration document of 1 MB to be sent without waiting for
 /// window updates.
 constexpr int kFlowControlWindowBytes = 1 << 21;
@@ -112,6 +115,9 @@
       GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
       kKeepAliveTimeMs / 2);
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS,
+                               kMaxSilenceMs);
+    builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, kMaxSilenceMs);
     mServerQueue = builder.AddCompletionQueue();
     mServer = builder.BuildAndStart();
     if (mServer) {
--- a/tests/path/test_misbehaving_callers.py
+++ b/tests/path/test_misbehaving_callers.py
@@ -23,6 +23,8 @@
          "query": {"colour": "tan"}, "deadline_ms": 2000, "min_coverage": 0}
 CHUNKED = (b"POST /v1/query HTTP/1.1\r\nHost: x\r\n"
            b"Transfer-Encoding: chunked\r\n\r\n")
+HTTP2_PREFACE = (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+                 b"\x00\x00\x00\x04\x00\x00\x00\x00\x00")
 
 
 class CrowdTest(support.ClusterTest):
@@ -41,6 +43,7 @@
         addresses = self.process.addresses
         self.ports = {"callers": self.cluster.entries["entry-0"]["http"],
                       "admin": addresses["admin"]}
+        self.peer_address = addresses["peer"]
 
     def crowd(self, port, count):
         clients = crowd.Crowd(self.ports[port], count)
@@ -101,6 +104,15 @@
             self.crowd(port, 400)
             self.assert_holds()
 
+    def test_idle_connections_to_the_port_of_peers(self):
+        """Guards against connections without a stream that use up the
+        descriptors."""
+        for head in (b"", HTTP2_PREFACE):
+            clients = crowd.Crowd(self.peer_address, 300)
+            self.addCleanup(clients.close)
+            clients.send([head] * len(clients.sockets))
+            self.assert_holds()
+
 
 class UnfinishedBodiesTest(CrowdTest):
     """The same with descriptors enough for many connections."""
