--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "support.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace bronzedeal::gateway::test {
@@ -253,6 +254,51 @@
   }
 }
 
+// Guards against bytes that a caller gets as an answer although their status is
+// none of the protocol, and against a request that waits for its deadline
+// behind them, as behind an interim response.
+TEST(SingleExchange, RejectsStatusesOutsideTheProtocol)
+{
+  for (const unsigned status : { 0U, 1U, 99U, 600U, 999U }) {
+    TestGateway fixture;
+    unsigned count = 0;
+    ScriptedServer server(fixture.process.context, [&](auto&) {
+      auto answer =
+        Response(200, "X-Request-Id: r-1\r\nX-Signature: s\r\n", "");
+      answer.replace(9, 3, fmt::format("{:03}", status));
+      return ++count == 1 ? Reaction{ answer } : SuccessAnswer("right");
+    });
+    fixture.AddServer("s-0", "g0", server.Address());
+    auto route = TestGateway::SingleRoute(Repeatability::AtMostOnce);
+    fixture.Publish({ route });
+    const auto reply = fixture.Ask("/one/a");
+    EXPECT_EQ(reply.status, 502U) << status;
+    EXPECT_EQ(reply.headers.find("X-Signature"), std::string::npos) << status;
+    EXPECT_EQ(server.Requests().size(), 1U) << status;
+  }
+}
+
+// Guards against the same for a request that another server can answer.
+TEST(SingleExchange, AsksAnotherServerAfterAStatusOutsideTheProtocol)
+{
+  for (const unsigned status : { 0U, 99U, 600U }) {
+    TestGateway fixture;
+    unsigned count = 0;
+    const auto script = [&](auto&) {
+      auto answer =
+        Response(200, "X-Request-Id: r-1\r\nX-Signature: s\r\n", "");
+      answer.replace(9, 3, fmt::format("{:03}", status));
+      return ++count == 1 ? Reaction{ answer } : SuccessAnswer("right");
+    };
+    ScriptedServer first(fixture.process.context, script);
+    ScriptedServer second(fixture.process.context, script);
+    fixture.AddServer("s-0", "g0", first.Address());
+    fixture.AddServer("s-1", "g0", second.Address());
+    fixture.Publish({ TestGateway::SingleRoute(Repeatability::Idempotent) });
+    EXPECT_EQ(fixture.Ask("/one/a").body, "right") << status;
+  }
+}
+
 // Guards against a caller receiving the response to another request.
 TEST(SingleExchange, RejectsAResponseWithAnotherRequestId)
 {
