Refuse statuses outside the protocol in bronzedeald as well

Callers saw: a shard that waits for its deadline, since the server's answer has a status below 100, which counted as an interim response; one of 600 or above counted as an answer.

Cause: the same as in the gateway; the pool of `bronzedeald` has its own reader.

Change: a status outside 100 to 599 is a bad answer, as other bytes that are none.

Evidence: ServerPoolTest.StatusOutsideTheProtocolIsNoAnswer failed before (no result in 10 s for 000) and passes. The tests of the connection library pass.

--- a/src/connection/server_pool.cpp
+++ b/src/connection/server_pool.cpp
@@ -36,6 +36,9 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t kReadChunkBytes = 16U << 10U;
+/// A response with another status is none (RFC 9110, 15).
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 /// Connections on which a request is tried while no byte of it was written.
 /// After a restart of the server several idle connections may be broken.
 constexpr unsigned kMaxSendTries = 4;
@@ -628,10 +631,16 @@
         valid = false;
         break;
       }
-      if (aConnection.parser->is_done() &&
-          aConnection.parser->Result().status < 200) {
-        // An interim response (1xx) precedes the final one.
-        ResetParser(aConnection);
+      if (aConnection.parser->is_done()) {
+        const auto status = aConnection.parser->Result().status;
+        valid = status >= kMinStatus && status <= kMaxStatus;
+        if (!valid) {
+          break;
+        }
+        if (status < 200) {
+          // An interim response (1xx) precedes the final one.
+          ResetParser(aConnection);
+        }
       }
     }
     aConnection.unparsedBytes -= used;
--- a/tests/connection/fake_http_server.hpp
+++ b/tests/connection/fake_http_server.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
@@ -104,6 +105,15 @@
           !mReleased) {
         co_await mHoldTimer.async_wait(token);
       }
+      if (request.target().starts_with("/status/")) {
+        // Of any three digits, also those that the library doesn't write.
+        const auto bytes = "HTTP/1.1 " +
+                           std::string(request.target().substr(8)) +
+                           " X\r\nContent-Length: 0\r\n\r\n";
+        co_await boost::asio::async_write(
+          aSocket, boost::asio::buffer(bytes), token);
+        continue;
+      }
       http::response<http::string_body> response;
       const bool refused =
         request.target().find("/refuse") != std::string_view::npos;
--- a/tests/connection/server_pool_test.cpp
+++ b/tests/connection/server_pool_test.cpp
@@ -98,6 +98,20 @@
   EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::Answered);
 }
 
+// Guards against bytes that count as an answer, or as an interim response, with
+// a status that the protocol doesn't have.
+TEST_F(ServerPoolTest, StatusOutsideTheProtocolIsNoAnswer)
+{
+  OpenPool(mServer.Address());
+  for (const std::string status : { "000", "099", "600", "999" }) {
+    auto result = Send("/status/" + status, "a")->result.get_future();
+    ASSERT_EQ(result.wait_for(std::chrono::seconds(10)),
+              std::future_status::ready)
+      << status;
+    EXPECT_EQ(result.get().error, SendError::BadAnswer) << status;
+  }
+}
+
 // Guards against a request that runs twice because the pool sent it again after
 // the connection broke, and against a lost busy connection that is not
 // reported.
