Keep the check of response statuses in one place

Both readers of servers' answers had the two bounds. `IsResponseStatus` stands beside `HasKnownFraming`, which both use already. No change of behaviour; the tests of odd statuses pass in both libraries.

--- a/include/bronzedeal/gateway/listener_limits.hpp
+++ b/include/bronzedeal/gateway/listener_limits.hpp
@@ -35,8 +35,7 @@
 /// `aMaxFileDescriptors`. The connections of all ports together leave more than
 /// a quarter of the descriptors for connections to servers.
 ///
-///     LimitsFor(ListenerRole::Callers, 256 << 20, 4096).maxConnections  //
-///     2048
+///     LimitsFor(ListenerRole::Callers, 256 << 20, 4096) // 2048 connections
 [[nodiscard]] ListenerLimits LimitsFor(
   ListenerRole aRole,
   std::size_t aMemoryBytes,
--- a/include/bronzedeal/http_framing.hpp
+++ b/include/bronzedeal/http_framing.hpp
@@ -10,4 +10,13 @@
 /// as the next message.
 [[nodiscard]] bool HasKnownFraming(const boost::beast::http::fields& aHeaders);
 
+/// False for a status that no response has (RFC 9110, 15). Beast accepts any
+/// three digits.
+[[nodiscard]] constexpr bool IsResponseStatus(unsigned aStatus) noexcept
+{
+  constexpr unsigned kMinStatus = 100;
+  constexpr unsigned kMaxStatus = 599;
+  return aStatus >= kMinStatus && aStatus <= kMaxStatus;
+}
+
 } // namespace bronzedeal
--- a/src/connection/server_pool.cpp
+++ b/src/connection/server_pool.cpp
@@ -1,5 +1,7 @@
 #include "bronzedeal/connection/server_pool.hpp"
 
+#include "bronzedeal/http_framing.hpp"
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -36,9 +38,6 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t kReadChunkBytes = 16U << 10U;
-/// A response with another status is none (RFC 9110, 15).
-constexpr unsigned kMinStatus = 100;
-constexpr unsigned kMaxStatus = 599;
 /// Connections on which a request is tried while no byte of it was written.
 /// After a restart of the server several idle connections may be broken.
 constexpr unsigned kMaxSendTries = 4;
@@ -633,7 +632,7 @@
       }
       if (aConnection.parser->is_done()) {
         const auto status = aConnection.parser->Result().status;
-        valid = status >= kMinStatus && status <= kMaxStatus;
+        valid = IsResponseStatus(status);
         if (!valid) {
           break;
         }
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -26,8 +26,6 @@
 /// Unparsed bytes: above the headers, a longer line of a chunk or of trailers
 /// is no response.
 constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadBufferBytes;
-constexpr unsigned kMinStatus = 100;
-constexpr unsigned kMaxStatus = 599;
 /// Interim (1xx) responses before the response to one request.
 constexpr unsigned kMaxInterimResponses = 16;
 /// A connection is not reused within this time before the end of the server's
@@ -49,13 +47,6 @@
   return ec == std::errc{} ? std::optional(seconds) : std::nullopt;
 }
 
-/// False for a status that no HTTP response has (RFC 9110, 15).
-bool HasValidStatus(const ResponseMessage& aResponse)
-{
-  return aResponse.result_int() >= kMinStatus &&
-         aResponse.result_int() <= kMaxStatus;
-}
-
 } // namespace
 
 ServerConnection::ServerConnection(asio::io_context& aContext,
@@ -245,7 +236,7 @@
       CloseOnError();
       return;
     }
-    if (mParser->is_done() && !HasValidStatus(mParser->get())) {
+    if (mParser->is_done() && !IsResponseStatus(mParser->get().result_int())) {
       CloseOnError();
       return;
     }
