--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -206,8 +206,9 @@
     """A backend server that registers in the store and runs requests.
 
     Times are in seconds: `work_s` is the time that each request takes, and
-    answers, of `body_bytes`, are held back until `pause_until`. `fail_share` of the answers have
-    status 500; `lose_share` of them are replaced by closing the connection.
+    answers are held back until `pause_until`. They have `body_bytes`.
+    `fail_share` of the answers have status 500; `lose_share` of them are
+    replaced by closing the connection.
     `unrun_share` of the requests get the status `unrun_status` without a run,
     and without a statement that they haven't run.
     With `endless`, the named part of each answer never ends. With
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -23,8 +23,6 @@
 LIMITS = {"max-header-bytes": 65536, "max-body-bytes": MEBIBYTE,
           "header-timeout-ms": 60000, "idle-timeout-ms": 60000}
 PORTS = ("front", "ready", "directory", "inner", "metrics")
-
-
 CHUNKED = ("Transfer-Encoding: chunked",)
 WHOLE_BODY = ("Content-Length: %d" % MEBIBYTE,)
 
