Log the connection and the time of failed attempts and calls

The logs can't tell whether an attempt failed by an answer on the connection of an earlier attempt, by one on another connection, or by a lost connection; nor how long a failed call to the metadata service was waited for, and which call it was.

`attempt_failed` names the connection and the time since the send, `metadata_lost` the call and how long it was waited for. No behaviour changes.

--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -100,6 +100,9 @@
   /// True from the moment when bytes may have reached the server.
   bool sent = false;
   std::shared_ptr<ServerConnection> connection;
+  /// `ServerConnection::Number` of the connection that it was sent on; 0
+  /// before.
+  std::uint64_t connectionNumber = 0;
   /// How long the connection had been idle when the request was sent.
   Duration idleTimeBeforeSend{};
   TimerQueue::Handle expiryTimer;
@@ -109,6 +112,14 @@
   bool unanswered = false;
 };
 
+/// The values `connection` and `sent_ms` of log entries about an attempt: the
+/// number of its connection and the time since it was sent. 0 if it was not
+/// sent, or if it is null because it ended during the call that began it.
+[[nodiscard]] std::int64_t ConnectionNumberOf(
+  const std::shared_ptr<Attempt>& aAttempt) noexcept;
+[[nodiscard]] double SentForMs(
+  const std::shared_ptr<Attempt>& aAttempt) noexcept;
+
 /// What is known of the run of a server that is no longer used.
 enum class RemovedRun
 {
--- a/include/bronzedeal/gateway/connection_count.hpp
+++ b/include/bronzedeal/gateway/connection_count.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 namespace bronzedeal::gateway {
 
-/// Counts the connections that one process has opened to others, and says
-/// whether it should open more.
+/// Counts and numbers the connections that one process has opened to others,
+/// and says whether it should open more.
 ///
 ///     ConnectionCount count(1024);
 ///     const ConnectionCount::Holder holder(count); // for each connection
@@ -23,6 +24,7 @@
   public:
     explicit Holder(ConnectionCount& aCount) noexcept
       : mCount(aCount)
+      , mNumber(++aCount.mLastNumber)
     {
       ++mCount.mOpen;
     }
@@ -30,8 +32,12 @@
     Holder(const Holder&) = delete;
     Holder& operator=(const Holder&) = delete;
 
+    /// Tells the connections of the process apart; rises from 1.
+    [[nodiscard]] std::uint64_t Number() const noexcept { return mNumber; }
+
   private:
     ConnectionCount& mCount;
+    std::uint64_t mNumber;
   };
 
   [[nodiscard]] bool HasRoom() const noexcept { return mOpen < mLimit; }
@@ -39,6 +45,7 @@
 private:
   std::size_t mLimit;
   std::size_t mOpen = 0;
+  std::uint64_t mLastNumber = 0;
 };
 
 } // namespace bronzedeal::gateway
--- a/include/bronzedeal/gateway/metadata_follower.hpp
+++ b/include/bronzedeal/gateway/metadata_follower.hpp
@@ -107,6 +107,9 @@
   /// The last reply came from another instance, whose revisions don't depend on
   /// the history of the service.
   bool mIsRelayed = false;
+  /// The call in progress or the last one, and when it was made.
+  std::string_view mLastCall;
+  TimePoint mLastCallAt{};
   Duration mBackoff{};
   bool mDisconnected = false;
   TimePoint mDisconnectedSince{};
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -71,6 +71,12 @@
     return aNow - mIdleSince;
   }
 
+  /// Tells the connections of this process apart.
+  [[nodiscard]] std::uint64_t Number() const noexcept
+  {
+    return mCountHolder.Number();
+  }
+
 private:
   void WaitReadable();
   void OnReadable();
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -60,6 +60,19 @@
   return kFaultNames.at(static_cast<std::size_t>(aFault));
 }
 
+std::int64_t ConnectionNumberOf(
+  const std::shared_ptr<Attempt>& aAttempt) noexcept
+{
+  return aAttempt ? static_cast<std::int64_t>(aAttempt->connectionNumber) : 0;
+}
+
+double SentForMs(const std::shared_ptr<Attempt>& aAttempt) noexcept
+{
+  return aAttempt && aAttempt->sent
+           ? Milliseconds(steady_clock::now() - aAttempt->sentAt)
+           : 0;
+}
+
 BackendServer::BackendServer(Process& aProcess, ServerRecord aRecord)
   : mProcess(aProcess)
 {
@@ -439,6 +452,7 @@
   const auto& request = *aAttempt->request;
   aAttempt->sent = true;
   aAttempt->connection = aConnection;
+  aAttempt->connectionNumber = aConnection->Number();
   // Read the clock right before the send: the process may have been paused
   // since the last reading.
   aAttempt->sentAt = steady_clock::now();
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -328,7 +328,9 @@
         { "fault", Name(aFault) },
         { "status",
           static_cast<std::int64_t>(
-            aResponse != nullptr ? aResponse->result_int() : 0) } });
+            aResponse != nullptr ? aResponse->result_int() : 0) },
+        { "connection", ConnectionNumberOf(running.attempt) },
+        { "sent_ms", SentForMs(running.attempt) } });
     const auto now = steady_clock::now();
     if (aFault == AttemptFault::Broken) {
       AddLostRun(running, now);
--- a/src/gateway/metadata_follower.cpp
+++ b/src/gateway/metadata_follower.cpp
@@ -137,6 +137,8 @@
   if (mListProgress.pageToken.empty()) {
     mMustListAgain = false;
   }
+  mLastCall = "list";
+  mLastCallAt = steady_clock::now();
   mSource.List(mTopic,
                mListProgress.pageToken,
                kListTimeout,
@@ -324,6 +326,8 @@
     return;
   }
   const auto wait = mDisconnected ? kReconnectWatchWait : WatchWait();
+  mLastCall = "watch";
+  mLastCallAt = steady_clock::now();
   mSource.Watch(mTopic,
                 mRevision,
                 wait,
@@ -481,7 +485,10 @@
     mDisconnectedSince = mLastContactTime;
     mProcess.log.Write(
       "metadata_lost",
-      { { "topic", TopicName(mTopic) }, { "detail", aReply.errorDetail } });
+      { { "topic", TopicName(mTopic) },
+        { "detail", aReply.errorDetail },
+        { "call", mLastCall },
+        { "waited_ms", Milliseconds(steady_clock::now() - mLastCallAt) } });
   }
 }
 
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -233,7 +233,9 @@
         { "server", server->Record().id },
         { "content", ToHex(*mServerRequest->content) },
         { "fault", Name(aFault) },
-        { "may_have_run", aResult == AttemptResult::OutcomeUnknown } });
+        { "may_have_run", aResult == AttemptResult::OutcomeUnknown },
+        { "connection", ConnectionNumberOf(running.mapped().attempt) },
+        { "sent_ms", SentForMs(running.mapped().attempt) } });
     SendOrFinish();
   }
 
