Send a request on a connection once

Cause: answers are matched by Request-Id, which both sends of a request bear. A late copy of the first refusal passes for the answer to the second send on the same connection.

Change: a connection carries a request once. `CarriedRequests` remembers the ids until the requests can't come again; `BackendServer` chooses another idle connection, opens one, or replaces an idle one at the limit, and ends the attempt as not run if the server accepts none. All paths to servers send there: first and second tries, hedges, shards, parts gathered for other instances, and requests to other instances. Requests that wait behind such an attempt may pass it. Instances state the id in their answers to each other, and say so by gossip; an answer without one is taken only from those that don't, or as the last one on its connection.

Tests, seen to fail before the change (503 and 5 runs instead of 200 and 1 run; 1 connection instead of 2): SingleExchange and FanoutExchange TakesNoCopyOfARefusalForTheAnswerToItsSecondSend, BackendServer SendsARequestOnAConnectionOnce and ReplacesTheOnlyConnectionForASecondSend. Two tests of BackendServer sent several requests without an id; they have ids now, since answers to requests without one can't be told apart, and check the same.

--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -26,6 +26,7 @@
 #include "bronzedeal/gateway/address_picker.hpp"
 #include "bronzedeal/gateway/answer_record.hpp"
 #include "bronzedeal/gateway/backend_server.hpp"
+#include "bronzedeal/gateway/carried_requests.hpp"
 #include "bronzedeal/gateway/cold_allowance.hpp"
 #include "bronzedeal/gateway/connection_count.hpp"
 #include "bronzedeal/gateway/connection_options.hpp"
--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -80,6 +80,7 @@
 namespace gateway {
 class AnswerRecord;
 class BackendServer;
+class CarriedRequests;
 class HttpListener;
 class ColdAllowance;
 class ConnectionCount;
--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -267,6 +267,9 @@
   void OnSendFinished(const std::shared_ptr<Attempt>& aAttempt,
                       SendResult aResult,
                       ResponseMessage* aResponse);
+  /// True if the response states that it answers the attempt's request.
+  [[nodiscard]] bool IsOfRequest(const ResponseMessage& aResponse,
+                                 const Attempt& aAttempt) const;
   /// Called when a connection failed that had been idle for `aIdleTime`: the
   /// server likely dropped its state. Stops reuse of connections with a similar
   /// idle time for a while.
@@ -310,8 +313,25 @@
   /// Also counts the servers that can't be reached.
   void SetReachable(bool aReachable);
   void ScheduleReconnect();
+  /// Takes an idle connection that may carry the request: one that hasn't
+  /// carried it before. Null if there is none. Closes those that must not carry
+  /// any.
   [[nodiscard]] std::shared_ptr<ServerConnection> TakeIdleConnection(
+    const ServerRequest& aRequest,
     TimePoint aNow);
+  /// True if the connection may carry further requests.
+  [[nodiscard]] bool IsReusable(const ServerConnection& aConnection,
+                                TimePoint aNow) const;
+  /// Why an attempt that still waits must not be sent any more; `None` if it
+  /// may be.
+  [[nodiscard]] AttemptFault FaultBeforeSend(const Attempt& aAttempt,
+                                             TimePoint aNow) const;
+  /// Ends the attempts that wait and that none of the open connections may
+  /// carry.
+  void FailUncarriedQueued();
+  /// Opens connections for the attempts that wait. At the limit, idle ones make
+  /// room: they have carried the requests that wait.
+  void OpenConnectionsForQueue(TimePoint aNow);
 
   Process& mProcess;
   ServerRecord mRecord;
--- a/include/bronzedeal/gateway/http_message.hpp
+++ b/include/bronzedeal/gateway/http_message.hpp
@@ -44,6 +44,11 @@
 /// Creates a plain text reply of the gateway itself, with the reason as body.
 [[nodiscard]] CallerReply TextReply(unsigned aStatus, std::string_view aReason);
 
+/// Adds a header field with the id of the request, unless the reply has it.
+void StateRequestId(CallerReply& aReply,
+                    std::string_view aHeaderName,
+                    std::string_view aRequestId);
+
 /// Creates a 503 reply with Retry-After. It promises that the request has not
 /// run.
 [[nodiscard]] CallerReply RefusedReply(std::string_view aReason,
--- a/include/bronzedeal/gateway/peer_capability.hpp
+++ b/include/bronzedeal/gateway/peer_capability.hpp
@@ -11,9 +11,11 @@
 {
   /// Serves requests that another instance hands over.
   Handover,
+  /// States the id of the request in its answers to other instances.
+  StatesRequestId,
 };
 
-inline constexpr unsigned kPeerCapabilityCount = 1;
+inline constexpr unsigned kPeerCapabilityCount = 2;
 
 /// A set of capabilities. Those that this version doesn't know are kept, so
 /// that they can be passed on.
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bronzedeal/gateway/carried_requests.hpp"
 #include "bronzedeal/gateway/connection_count.hpp"
 #include "bronzedeal/gateway/connection_options.hpp"
 #include "bronzedeal/gateway/http_message.hpp"
@@ -71,6 +72,14 @@
     return aNow - mIdleSince;
   }
 
+  /// The requests that this connection has carried. The sender adds them, if it
+  /// matches responses by id.
+  [[nodiscard]] CarriedRequests& Carried() noexcept { return mCarried; }
+  [[nodiscard]] const CarriedRequests& Carried() const noexcept
+  {
+    return mCarried;
+  }
+
   /// Tells the connections of this process apart.
   [[nodiscard]] std::uint64_t Number() const noexcept
   {
@@ -108,6 +117,7 @@
   /// Bytes received of the current response, interim ones included.
   MemoryBudget::Charge mCharge;
   ConnectionCount::Holder mCountHolder;
+  CarriedRequests mCarried;
   unsigned mInterimCount = 0;
   bool mIsOpen = false;
   bool mIsWriting = false;
--- a/include/bronzedeal/gateway/server_record.hpp
+++ b/include/bronzedeal/gateway/server_record.hpp
@@ -28,6 +28,9 @@
   /// It is another instance of the gateway. Limits that its answers state are
   /// those of the servers behind it.
   bool isInstance = false;
+  /// An instance that states the id of the request in its answers, as servers
+  /// do.
+  bool statesRequestId = false;
 };
 
 /// True if both records are of the same server run, or `aRecord` of an earlier
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -35,6 +35,9 @@
 constexpr auto kMinDroppedIdleTime = milliseconds(200);
 constexpr double kReusableIdleFraction = 0.7;
 constexpr auto kReusableIdleLimitDuration = std::chrono::seconds(15);
+/// How long after its deadline a request may come again, from another instance
+/// whose deadline is a little later.
+constexpr auto kCarriedMargin = milliseconds(2000);
 /// Maximum size of a server's response body.
 constexpr std::size_t kMaxResponseBodyBytes = std::size_t{ 16 } << 20;
 
@@ -242,54 +245,117 @@
   }
 }
 
+bool BackendServer::IsReusable(const ServerConnection& aConnection,
+                               TimePoint aNow) const
+{
+  const bool idleTimeAllowed = aNow >= mMaxReusableIdleUntil ||
+                               aConnection.IdleTime(aNow) < mMaxReusableIdle;
+  return idleTimeAllowed && aConnection.IsReusable(aNow) &&
+         !aConnection.Carried().IsFull();
+}
+
 std::shared_ptr<ServerConnection> BackendServer::TakeIdleConnection(
+  const ServerRequest& aRequest,
   TimePoint aNow)
 {
-  while (!mIdleConnections.empty()) {
-    auto connection = std::move(mIdleConnections.back());
-    mIdleConnections.pop_back();
-    const bool idleTimeAllowed = aNow >= mMaxReusableIdleUntil ||
-                                 connection->IdleTime(aNow) < mMaxReusableIdle;
-    if (idleTimeAllowed && connection->IsReusable(aNow)) {
+  for (auto n = mIdleConnections.size(); n > 0; --n) {
+    const auto it =
+      mIdleConnections.begin() + static_cast<std::ptrdiff_t>(n - 1);
+    const auto connection = *it;
+    if (!IsReusable(*connection, aNow)) {
+      mIdleConnections.erase(it);
+      connection->Close();
+    } else if (!connection->Carried().Contains(aRequest.requestId)) {
+      mIdleConnections.erase(it);
       return connection;
     }
-    connection->Close();
   }
   return nullptr;
 }
 
+AttemptFault BackendServer::FaultBeforeSend(const Attempt& aAttempt,
+                                            TimePoint aNow) const
+{
+  if (aAttempt.request->deadline <= aNow) {
+    return AttemptFault::Expired;
+  }
+  return VerdictOf(mProcess, *aAttempt.request, aNow) ==
+             ContentVerdict::Quarantined
+           ? AttemptFault::Quarantined
+           : AttemptFault::None;
+}
+
 void BackendServer::ProcessQueue()
 {
   const auto now = steady_clock::now();
-  while (!mQueue.empty()) {
-    if (mQueue.front()->request->deadline <= now) {
-      auto attempt = mQueue.front();
-      mQueue.pop_front();
-      Finish(attempt, AttemptResult::NotRun, AttemptFault::Expired, nullptr);
-      continue;
-    }
-    if (VerdictOf(mProcess, *mQueue.front()->request, now) ==
-        ContentVerdict::Quarantined) {
-      auto attempt = mQueue.front();
-      mQueue.pop_front();
-      Finish(
-        attempt, AttemptResult::NotRun, AttemptFault::Quarantined, nullptr);
+  std::size_t n = 0;
+  while (n < mQueue.size()) {
+    const auto attempt = mQueue[n];
+    const auto position = mQueue.begin() + static_cast<std::ptrdiff_t>(n);
+    if (const auto fault = FaultBeforeSend(*attempt, now);
+        fault != AttemptFault::None) {
+      mQueue.erase(position);
+      Finish(attempt, AttemptResult::NotRun, fault, nullptr);
+      n = 0; // The handler may have changed the queue.
       continue;
     }
     if (!MaySendNow(now)) {
       FailQueued(AttemptFault::RateLimited);
       return;
     }
-    const auto connection = TakeIdleConnection(now);
-    if (!connection) {
+    if (const auto connection = TakeIdleConnection(*attempt->request, now)) {
+      mQueue.erase(position);
+      Dispatch(attempt, connection);
+    } else if (mIdleConnections.empty()) {
       break;
+    } else {
+      ++n;
     }
-    auto attempt = mQueue.front();
-    mQueue.pop_front();
-    Dispatch(attempt, connection);
   }
-  while (mQueue.size() > mConnectingCount && MayOpenConnection(now)) {
-    OpenConnection();
+  OpenConnectionsForQueue(now);
+}
+
+void BackendServer::FailUncarriedQueued()
+{
+  const auto mayCarry = [](const ServerConnection& aConnection,
+                           const Attempt& aAttempt) {
+    return !aConnection.Carried().Contains(aAttempt.request->requestId);
+  };
+  const auto mayBeCarried = [&](const auto& aAttempt) {
+    return std::any_of(
+             mIdleConnections.begin(),
+             mIdleConnections.end(),
+             [&](const auto& aIt) { return mayCarry(*aIt, *aAttempt); }) ||
+           std::any_of(
+             mInFlight.begin(), mInFlight.end(), [&](const auto& aIt) {
+               return mayCarry(*aIt->connection, *aAttempt);
+             });
+  };
+  std::vector<std::shared_ptr<Attempt>> failed;
+  std::copy_if(mQueue.begin(),
+               mQueue.end(),
+               std::back_inserter(failed),
+               [&](const auto& aIt) { return !mayBeCarried(aIt); });
+  std::erase_if(mQueue, [&](const auto& aIt) { return !mayBeCarried(aIt); });
+  for (const auto& it : failed) {
+    Finish(it, AttemptResult::NotRun, AttemptFault::ConnectFailed, nullptr);
+  }
+}
+
+void BackendServer::OpenConnectionsForQueue(TimePoint aNow)
+{
+  while (mQueue.size() > mConnectingCount) {
+    if (MayOpenConnection(aNow)) {
+      OpenConnection();
+      continue;
+    }
+    const bool isPausing = aNow < mNextConnectAt;
+    if (mIdleConnections.empty() || isPausing) {
+      return;
+    }
+    const auto connection = mIdleConnections.front();
+    mIdleConnections.erase(mIdleConnections.begin());
+    connection->Close();
   }
 }
 
@@ -387,6 +453,7 @@
     ScheduleReconnect();
     return;
   }
+  FailUncarriedQueued();
   mNextConnectAt = steady_clock::now() + kMinReconnectDelay;
   mProcess.timers.Schedule(mNextConnectAt, [self = weak_from_this()] {
     if (const auto server = self.lock()) {
@@ -462,6 +529,8 @@
                            std::chrono::duration_cast<milliseconds>(
                              request.deadline - aAttempt->sentAt)
                              .count());
+  aConnection->Carried().Add(
+    request.requestId, request.deadline + kCarriedMargin, aAttempt->sentAt);
   mInFlight.push_back(aAttempt);
   mRateLimit.OnSend(RateShare(), aAttempt->sentAt);
   if (IsCold(aAttempt->sentAt)) {
@@ -511,11 +580,7 @@
     return;
   }
   const auto& headerNames = mProcess.settings.headerNames;
-  const auto id = (*aResponse)[headerNames.requestId];
-  // Servers echo the id. Replies of instances to their peers have none.
-  const bool isOfRequest =
-    id == aAttempt->request->requestId || (id.empty() && mRecord.isInstance);
-  if (!isOfRequest) {
+  if (!IsOfRequest(*aResponse, *aAttempt)) {
     // These bytes belong to no request or to another one: responses on this
     // connection no longer match the requests.
     connection->Close();
@@ -573,6 +638,18 @@
   mMaxReusableIdleUntil = aNow + kReusableIdleLimitDuration;
 }
 
+bool BackendServer::IsOfRequest(const ResponseMessage& aResponse,
+                                const Attempt& aAttempt) const
+{
+  const auto id = aResponse[mProcess.settings.headerNames.requestId];
+  if (!id.empty() || !mRecord.isInstance) {
+    return id == aAttempt.request->requestId;
+  }
+  // Instances of former versions state no id. Others state none if they can't
+  // read the request; such an answer is the last one on its connection.
+  return !mRecord.statesRequestId || !aResponse.keep_alive();
+}
+
 void BackendServer::OnExpired(const std::shared_ptr<Attempt>& aAttempt)
 {
   // No response by the deadline: the server hangs, or works on the request for
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -153,8 +153,14 @@
     if (const auto query = DecodeRelayQuery(aRequest.message)) {
       return relay.Handle(*query, std::move(aReply));
     }
+    auto reply = [reply = std::move(aReply),
+                  &name = process.settings.headerNames.requestId,
+                  id = aRequest.requestId](CallerReply aAnswer) {
+      StateRequestId(aAnswer, name, id);
+      reply(std::move(aAnswer));
+    };
     if (!serverFollower.IsSynchronized()) {
-      aReply(RefusedReply("no servers known yet", milliseconds(200)));
+      reply(RefusedReply("no servers known yet", milliseconds(200)));
       return nullptr;
     }
     if (const auto handover = TakeHandover(aRequest.message)) {
@@ -165,13 +171,13 @@
       }
       return gateway.Handle(
         std::move(aRequest),
-        [reply = std::move(aReply)](CallerReply aAnswer) {
+        [reply = std::move(reply)](CallerReply aAnswer) {
           MarkHandoverReply(aAnswer);
           reply(std::move(aAnswer));
         },
         true);
     }
-    return gateway.HandlePartialQuery(std::move(aRequest), std::move(aReply));
+    return gateway.HandlePartialQuery(std::move(aRequest), std::move(reply));
   }
 
   [[nodiscard]] bool IsReady() const
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <fmt/format.h>
@@ -62,6 +63,16 @@
   return reply;
 }
 
+void StateRequestId(CallerReply& aReply,
+                    std::string_view aHeaderName,
+                    std::string_view aRequestId)
+{
+  const auto field = fmt::format("{}: {}\r\n", aHeaderName, aRequestId);
+  if (!boost::algorithm::icontains(aReply.headers, field)) {
+    aReply.headers += field;
+  }
+}
+
 CallerReply RefusedReply(std::string_view aReason, Duration aRetryAfter)
 {
   auto reply = TextReply(503, aReason);
--- a/src/gateway/peer_pool.cpp
+++ b/src/gateway/peer_pool.cpp
@@ -35,7 +35,14 @@
     }
     candidates.insert(it.instance);
     auto& peer = mPeers[it.instance];
+    const bool statesRequestId =
+      it.capabilities.Has(PeerCapability::StatesRequestId);
     if (peer && peer->Record().startedAtMs == it.incarnation) {
+      if (statesRequestId != peer->Record().statesRequestId) {
+        auto known = peer->Record();
+        known.statesRequestId = statesRequestId;
+        peer->Update(std::move(known), std::chrono::steady_clock::now());
+      }
       continue;
     }
     if (peer) {
@@ -49,6 +56,7 @@
     record.slots = kMaxConnectionsPerPeer;
     record.startedAtMs = it.incarnation;
     record.isInstance = true;
+    record.statesRequestId = statesRequestId;
     peer = std::make_shared<BackendServer>(mProcess, std::move(record));
     peer->SetMaxConnections(kMaxConnectionsPerPeer);
   }
--- a/tests/gateway/backend_server_test.cpp
+++ b/tests/gateway/backend_server_test.cpp
@@ -27,8 +27,152 @@
   return record;
 }
 
+/// Servers echo the id of a request in their answers.
+std::shared_ptr<ServerRequest> MakeRequestWithId(const std::string& aId)
+{
+  auto request = MakeRequest();
+  request->head += "X-Request-Id: " + aId + "\r\n";
+  request->requestId = aId;
+  return request;
+}
+
+std::string IdOf(const std::string& aRequest)
+{
+  constexpr std::string_view kName = "X-Request-Id: ";
+  const auto at = aRequest.find(kName) + kName.size();
+  return aRequest.substr(at, aRequest.find("\r\n", at) - at);
+}
+
+/// A server that answers with the id of the request.
+ScriptedServer::Script AnswerWithId(milliseconds aDelay = {})
+{
+  return [aDelay](const std::string& aRequest) {
+    Reaction reaction{ Response(
+      200, "X-Request-Id: " + IdOf(aRequest) + "\r\n", "ok") };
+    reaction.delay = aDelay;
+    return reaction;
+  };
+}
+
+/// Sends a request and waits for its result.
+AttemptResult SendAndWait(TestGateway& aFixture,
+                          BackendServer& aServer,
+                          const std::string& aId)
+{
+  std::optional<AttemptResult> result;
+  aServer.Send(MakeRequestWithId(aId),
+               [&](auto aResult, auto, auto*) { result = aResult; });
+  aFixture.RunUntil([&] { return result.has_value(); });
+  return result.value_or(AttemptResult::OutcomeUnknown);
+}
+
 } // namespace
 
+// Guards against a late copy of an answer that decides the second send of the
+// request on the same connection (review/6), at servers and other instances.
+TEST(BackendServer, SendsARequestOnAConnectionOnce)
+{
+  for (const bool isInstance : { false, true }) {
+    TestGateway fixture;
+    ScriptedServer server(fixture.process.context, AnswerWithId());
+    auto record = MakeRecord(server.Address());
+    record.isInstance = isInstance;
+    const auto backend =
+      std::make_shared<BackendServer>(fixture.process, record);
+    backend->SetMaxConnections(4);
+    SendAndWait(fixture, *backend, "r-1");
+    ASSERT_EQ(server.ConnectionCount(), 1U);
+    SendAndWait(fixture, *backend, "r-1");
+    EXPECT_EQ(server.ConnectionCount(), 2U);
+    // Either connection may carry other requests.
+    SendAndWait(fixture, *backend, "r-2");
+    SendAndWait(fixture, *backend, "r-3");
+    EXPECT_EQ(server.ConnectionCount(), 2U);
+  }
+}
+
+// Guards against an answer to one request that is taken for that to another,
+// between instances as at servers. Those of former versions state no id.
+TEST(BackendServer, TakesFromInstancesOnlyAnswersToTheRequest)
+{
+  struct Case
+  {
+    std::string answer;
+    bool statesRequestId;
+    AttemptResult result;
+  };
+  const std::string closing = "Connection: close\r\n";
+  for (const auto& it : {
+         Case{ Response(200, "X-Request-Id: r-1\r\n", "ok"),
+               true,
+               AttemptResult::Answered },
+         Case{ Response(200, "X-Request-Id: r-0\r\n", "ok"),
+               false,
+               AttemptResult::OutcomeUnknown },
+         Case{ Response(200, "", "ok"), false, AttemptResult::Answered },
+         Case{ Response(200, "", "ok"), true, AttemptResult::OutcomeUnknown },
+         // A request that the instance couldn't read.
+         Case{ Response(431, closing, ""), true, AttemptResult::Answered },
+       }) {
+    TestGateway fixture;
+    ScriptedServer peer(fixture.process.context,
+                        [&](auto&) { return Reaction{ it.answer }; });
+    auto record = MakeRecord(peer.Address());
+    record.isInstance = true;
+    record.statesRequestId = it.statesRequestId;
+    const auto backend =
+      std::make_shared<BackendServer>(fixture.process, record);
+    EXPECT_EQ(SendAndWait(fixture, *backend, "r-1"), it.result) << it.answer;
+  }
+}
+
+// Guards against answers of servers that are passed on with a second id.
+TEST(BackendServer, StatesTheRequestIdOnce)
+{
+  CallerReply reply;
+  StateRequestId(reply, "Request-Id", "r-1");
+  StateRequestId(reply, "request-id", "r-1");
+  EXPECT_EQ(reply.headers, "Request-Id: r-1\r\n");
+}
+
+// Guards against a second send that waits until its deadline because all
+// connections that the server permits have carried the request.
+TEST(BackendServer, ReplacesTheOnlyConnectionForASecondSend)
+{
+  TestGateway fixture;
+  ScriptedServer server(fixture.process.context, AnswerWithId());
+  const auto backend = std::make_shared<BackendServer>(
+    fixture.process, MakeRecord(server.Address()));
+  backend->SetMaxConnections(1);
+  EXPECT_EQ(SendAndWait(fixture, *backend, "r-1"), AttemptResult::Answered);
+  EXPECT_EQ(SendAndWait(fixture, *backend, "r-1"), AttemptResult::Answered);
+  EXPECT_EQ(server.ConnectionCount(), 2U);
+  fixture.RunUntil([&] { return server.ClosedCount() == 1; });
+  EXPECT_EQ(server.ClosedCount(), 1U);
+}
+
+// Guards against requests that wait behind a second send although a connection
+// that may carry them is free.
+TEST(BackendServer, SendsOtherRequestsPastASecondSendThatWaits)
+{
+  TestGateway fixture;
+  ScriptedServer server(fixture.process.context,
+                        AnswerWithId(milliseconds(50)));
+  const auto backend = std::make_shared<BackendServer>(
+    fixture.process, MakeRecord(server.Address()));
+  backend->SetMaxConnections(2);
+  SendAndWait(fixture, *backend, "r-1");
+  std::vector<std::string> answered;
+  for (const char* it : { "r-2", "r-1", "r-3" }) {
+    backend->Send(MakeRequestWithId(it), [&answered, it](auto, auto, auto*) {
+      answered.push_back(it);
+    });
+  }
+  fixture.RunUntil([&] { return answered.size() == 3; });
+  EXPECT_EQ(answered.size(), 3U);
+  EXPECT_EQ(server.ConnectionCount(), 2U);
+}
+
 // Guards against a server that keeps its share of the requests although it
 // breaks off each of them.
 TEST(BackendServer, CountsBrokenConnectionsAsFailures)
@@ -78,11 +222,8 @@
 TEST(BackendServer, WaitsBetweenConnectionsThatAreRefusedBesideAnOpenOne)
 {
   TestGateway fixture;
-  ScriptedServer server(fixture.process.context, [](auto&) {
-    Reaction reaction{ Response(200, "", "ok") };
-    reaction.delay = milliseconds(500);
-    return reaction;
-  });
+  ScriptedServer server(fixture.process.context,
+                        AnswerWithId(milliseconds(500)));
   const auto backend = std::make_shared<BackendServer>(
     fixture.process, MakeRecord(server.Address()));
   backend->SetMaxConnections(2);
@@ -90,10 +231,10 @@
   const auto count = [&](auto aResult, auto, auto*) {
     answered += aResult == AttemptResult::Answered ? 1 : 0;
   };
-  backend->Send(MakeRequest(), count);
+  backend->Send(MakeRequestWithId("r-1"), count);
   fixture.RunUntil([&] { return server.Requests().size() == 1; });
   server.StopAccepting();
-  backend->Send(MakeRequest(), count);
+  backend->Send(MakeRequestWithId("r-2"), count);
   fixture.RunUntil([&] { return answered == 2; });
   EXPECT_EQ(answered, 2U);
   // The one that is open, and one try in 200 ms.
@@ -102,6 +243,23 @@
             kMostConnections);
 }
 
+// Guards against a second send that waits until its deadline at a server that
+// accepts no further connections, and against the loss of the open one.
+TEST(BackendServer, FailsASecondSendThatNoConnectionMayCarry)
+{
+  TestGateway fixture;
+  ScriptedServer server(fixture.process.context, AnswerWithId());
+  const auto backend = std::make_shared<BackendServer>(
+    fixture.process, MakeRecord(server.Address()));
+  backend->SetMaxConnections(2);
+  SendAndWait(fixture, *backend, "r-1");
+  server.StopAccepting();
+  const auto start = steady_clock::now();
+  EXPECT_EQ(SendAndWait(fixture, *backend, "r-1"), AttemptResult::NotRun);
+  EXPECT_LT(steady_clock::now(), start + std::chrono::seconds(2));
+  EXPECT_EQ(SendAndWait(fixture, *backend, "r-2"), AttemptResult::Answered);
+}
+
 // Guards against the first queries over a new set of shards all waiting for
 // connections to open (seen in gaonsan-hide-grown, scale-1, seconds 6 to 8).
 TEST(BackendServer, OpensAConnectionBeforeTheFirstRequest)
@@ -126,21 +284,22 @@
 {
   TestGateway fixture;
   unsigned seen = 0;
-  ScriptedServer server(fixture.process.context, [&](auto&) {
+  ScriptedServer server(fixture.process.context, [&](const auto& aRequest) {
     // Two connections are used at the same time and then idle; the third
     // request meets a reset.
-    Reaction reaction{ Response(200, "", "ok") };
-    reaction.delay = milliseconds(seen < 2 ? 50 : 0);
+    const auto reaction =
+      AnswerWithId(milliseconds(seen < 2 ? 50 : 0))(aRequest);
     return ++seen == 3 ? Reaction{ "", {}, false, true } : reaction;
   });
   const auto backend = std::make_shared<BackendServer>(
     fixture.process, MakeRecord(server.Address()));
   backend->SetMaxConnections(10);
   std::vector<AttemptResult> results;
+  unsigned sent = 0;
   const auto send = [&] {
-    backend->Send(MakeRequest(), [&](AttemptResult aResult, auto, auto*) {
-      results.push_back(aResult);
-    });
+    backend->Send(
+      MakeRequestWithId("r-" + std::to_string(++sent)),
+      [&](AttemptResult aResult, auto, auto*) { results.push_back(aResult); });
   };
   send();
   send();
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -88,6 +88,52 @@
   EXPECT_EQ(first.Requests().size() + second.Requests().size(), 1U);
 }
 
+// Guards against a request that runs twice, or is refused though it runs,
+// because a late copy of a refusal passes for the answer to its second send
+// (review/6).
+TEST(SingleExchange, TakesNoCopyOfARefusalForTheAnswerToItsSecondSend)
+{
+  TestGateway fixture;
+  const std::string refusal =
+    Response(503, "X-Request-Id: r-1\r\nX-Not-Run: 1\r\n", "");
+  unsigned runs = 0;
+  ScriptedServer server(fixture.process.context, [&](auto&) {
+    if (server.Requests().size() == 1) {
+      return Reaction{ refusal };
+    }
+    ++runs;
+    // The copy arrives on the connection of the refusal only.
+    return server.ConnectionCount() == 1 ? Reaction{ refusal }
+                                         : SuccessAnswer();
+  });
+  fixture.AddServer("s-0", "g0", server.Address());
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::AtMostOnce) });
+  EXPECT_EQ(fixture.Ask("/one/a").status, 200U);
+  EXPECT_EQ(runs, 1U);
+}
+
+// Guards against a shard that is left out, or asked once more, because a late
+// copy of a refusal passes for the answer to its second send.
+TEST(FanoutExchange, TakesNoCopyOfARefusalForTheAnswerToItsSecondSend)
+{
+  TestGateway fixture;
+  const std::string refusal =
+    Response(503, "X-Request-Id: r-1\r\nX-Not-Run: 1\r\n", "");
+  unsigned runs = 0;
+  ScriptedServer server(fixture.process.context, [&](auto&) {
+    if (server.Requests().size() == 1) {
+      return Reaction{ refusal };
+    }
+    ++runs;
+    return server.ConnectionCount() == 1 ? Reaction{ refusal }
+                                         : ShardAnswer("s", Record('z'));
+  });
+  fixture.AddServer("s-0", "g0", server.Address());
+  fixture.Publish({ TestGateway::FanoutRoute({ "g0" }, 1) });
+  EXPECT_EQ(fixture.Ask("/all/a").status, 200U);
+  EXPECT_EQ(runs, 1U);
+}
+
 // Guards against failing a request that one server refused because it was full.
 TEST(SingleExchange, RetriesAnAtMostOnceRequestThatDidNotRun)
 {
--- a/tests/gateway/handover_test.cpp
+++ b/tests/gateway/handover_test.cpp
@@ -44,7 +44,12 @@
                [this, helper = std::move(aHelper)](CallerRequest aRequest,
                                                    ReplyHandler aReply) {
                  ++handedOver;
-                 return helper(std::move(aRequest), std::move(aReply));
+                 return helper(
+                   std::move(aRequest),
+                   [reply = std::move(aReply)](CallerReply aAnswer) {
+                     StateRequestId(aAnswer, "X-Request-Id", "r-1");
+                     reply(std::move(aAnswer));
+                   });
                })
   {
     process.settings.gossipEndpoint.port(listener.Address().port());
