Take in bronzedeald only answers that state the id of their send

An answer was taken for that of the request in flight by its place on the connection alone, so that a late copy of an earlier answer decided the next operation or sub-request.

Change: each send has an id of its own, which servers state in the answer. An answer with another id ends the send with `BadAnswer` (the outcome of an operation is unknown) and the connection. One without an id is taken only on connections that have stated none, so that servers that don't state ids can still be used; docs/design.md asks for it, and the stand-in does it.

--- a/include/bronzedeal/connection/server_pool.hpp
+++ b/include/bronzedeal/connection/server_pool.hpp
@@ -38,7 +38,8 @@
   /// No response by the deadline; the slot stays in use until
   /// `SendRequest::onEnded`.
   Timeout,
-  /// The response is not valid HTTP or exceeds `maxResponseBodyBytes`.
+  /// The response is not valid HTTP, exceeds `maxResponseBodyBytes` or belongs
+  /// to another request.
   BadAnswer,
   /// The pool was closed, before or after a byte was written.
   PoolClosed,
@@ -94,8 +95,9 @@
   std::vector<std::pair<std::string, std::string>> headers;
   /// Requests to several servers may share one body; null for no body.
   std::shared_ptr<const std::string> body;
-  /// Sent as `x-request-id`. After a timeout or a cancellation the pool asks
-  /// the server to cancel the request of this id; empty for a request that
+  /// Sent as `x-request-id` and different for each send; a response that states
+  /// another one is not accepted. After a timeout or a cancellation the pool
+  /// asks the server to cancel the request of this id; empty for a request that
   /// can't be cancelled at the server.
   std::string requestId;
   /// When the request fails with `NoConnection` or `Timeout`.
--- a/src/connection/server_pool.cpp
+++ b/src/connection/server_pool.cpp
@@ -274,6 +274,8 @@
     bool writing = false;
     /// True after the first response on this connection.
     bool hasAnswered = false;
+    /// True after a response that stated the id of its request.
+    bool statesRequestId = false;
     TimePoint firstByteAt;
     /// When the connect, the request or its unconfirmed time is over.
     TimePoint timeoutAt;
@@ -597,12 +599,37 @@
       return;
     }
     if (aConnection->parser->is_done()) {
-      OnResponse(aConnection);
+      FinishResponse(aConnection);
       return;
     }
     StartRead(aConnection);
   }
 
+  /// Takes a complete response for the answer to the request in flight, unless
+  /// it states that it belongs to another send.
+  void FinishResponse(const ConnectionPtr& aConnection)
+  {
+    if (AnswersCurrentRequest(*aConnection)) {
+      OnResponse(aConnection);
+      return;
+    }
+    FailConnection(
+      aConnection, SendError::BadAnswer, AttemptEnd::ConnectionLost);
+    AssignConnections();
+  }
+
+  /// Each send has an id of its own, so an answer with another id belongs to an
+  /// earlier send. Servers that never state ids can't be checked.
+  static bool AnswersCurrentRequest(Connection& aConnection)
+  {
+    const auto id = aConnection.parser->Result().Header("x-request-id");
+    const auto& expected = aConnection.currentRequest->request.requestId;
+    aConnection.statesRequestId =
+      aConnection.statesRequestId || (!id.empty() && id == expected);
+    return id.empty() ? expected.empty() || !aConnection.statesRequestId
+                      : id == expected;
+  }
+
   void ResetParser(Connection& aConnection) const
   {
     aConnection.parser.emplace();
@@ -659,7 +686,7 @@
       error_code ec;
       aConnection->parser->put_eof(ec);
       if (!ec && aConnection->parser->is_done()) {
-        OnResponse(aConnection);
+        FinishResponse(aConnection);
         return;
       }
     }
--- a/tests/connection/fake_http_server.hpp
+++ b/tests/connection/fake_http_server.hpp
@@ -25,7 +25,8 @@
 /// request. A part of the target changes that: `/close` closes the connection
 /// without a response, `/hold` responds after `ReleaseHeldRequests`, `/refuse`
 /// responds with 503, and `/answer-then-close` closes the connection after the
-/// response.
+/// response. Responses state the id of the request, but not after `/anonymous`;
+/// after `/copy` that of the request before on the connection.
 class FakeHttpServer
 {
 public:
@@ -87,6 +88,7 @@
     boost::beast::flat_buffer buf;
     mMaxOpenConnections =
       std::max<int>(mMaxOpenConnections, ++mOpenConnections);
+    std::string formerId;
     for (;;) {
       http::request<http::string_body> request;
       co_await http::async_read(aSocket, buf, request, token);
@@ -119,6 +121,13 @@
         request.target().find("/refuse") != std::string_view::npos;
       response.result(refused ? 503 : 200);
       response.set("x-outcome", "not-run");
+      const bool isCopy =
+        request.target().find("/copy") != std::string_view::npos;
+      const std::string id(request["x-request-id"]);
+      if (request.target().find("/anonymous") == std::string_view::npos) {
+        response.set("x-request-id", isCopy ? formerId : id);
+      }
+      formerId = id;
       response.body() = std::move(request.body());
       response.prepare_payload();
       co_await http::async_write(aSocket, response, token);
--- a/tests/connection/server_pool_test.cpp
+++ b/tests/connection/server_pool_test.cpp
@@ -98,6 +98,36 @@
   EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::Answered);
 }
 
+// Guards against a late copy of an answer that passes for the answer to the
+// next send on its connection.
+TEST_F(ServerPoolTest, AnswerToAnotherSendIsNoAnswer)
+{
+  mOptions.maxConnections = 1;
+  OpenPool(mServer.Address());
+  EXPECT_EQ(Send("/a", "1")->result.get_future().get().error, SendError::None);
+  const auto attempt = Send("/copy", "2");
+  const auto result = attempt->result.get_future().get();
+  EXPECT_EQ(result.error, SendError::BadAnswer);
+  EXPECT_TRUE(result.byteWritten);
+  EXPECT_EQ(attempt->ended.get_future().get(), AttemptEnd::ConnectionLost);
+  EXPECT_EQ(Send("/a", "3")->result.get_future().get().error, SendError::None);
+}
+
+// Guards against servers that state no ids and so are never used, and against
+// an answer without one on a connection that gives them.
+TEST_F(ServerPoolTest, AnswerWithoutIdIsTakenOnlyWhereNoneStatesOne)
+{
+  mOptions.maxConnections = 1;
+  OpenPool(mServer.Address());
+  for (const char* it : { "1", "2" }) {
+    EXPECT_EQ(Send("/anonymous", it)->result.get_future().get().error,
+              SendError::None);
+  }
+  EXPECT_EQ(Send("/a", "3")->result.get_future().get().error, SendError::None);
+  EXPECT_EQ(Send("/anonymous", "4")->result.get_future().get().error,
+            SendError::BadAnswer);
+}
+
 // Guards against bytes that count as an answer, or as an interim response, with
 // a status that the protocol doesn't have.
 TEST_F(ServerPoolTest, StatusOutsideTheProtocolIsNoAnswer)
--- a/tools/standin/http_listener.cpp
+++ b/tools/standin/http_listener.cpp
@@ -150,6 +150,7 @@
     request.method = message.method_string();
     request.target = message.target();
     request.requestId = message["x-request-id"];
+    mRequestId = request.requestId;
     request.indexVersion = ParseNumber(message["x-index-version"], 0);
     request.deadlineMs = ParseNumber(message["x-deadline-ms"], 0);
     request.body = std::move(message.body());
@@ -172,6 +173,9 @@
     mResponse.result(aResponse.status);
     mResponse.keep_alive(mKeepAlive);
     mResponse.set(http::field::content_type, "application/json");
+    if (!mRequestId.empty()) {
+      mResponse.set("x-request-id", mRequestId);
+    }
     if (!aResponse.notRun.empty()) {
       mResponse.set("x-outcome", "not-run");
       mResponse.set("x-reason", aResponse.notRun);
@@ -203,6 +207,7 @@
   std::optional<http::request_parser<http::string_body>> mParser;
   http::response<http::string_body> mResponse;
   bool mKeepAlive = true;
+  std::string mRequestId;
 };
 
 void HttpListener::Impl::Close()
