Let the chosen connection be moved

The linter finds that a constant local prevents the move of the returned pointer in BackendServer::TakeIdleConnection.

--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -261,7 +261,7 @@
   for (auto n = mIdleConnections.size(); n > 0; --n) {
     const auto it =
       mIdleConnections.begin() + static_cast<std::ptrdiff_t>(n - 1);
-    const auto connection = *it;
+    auto connection = *it;
     if (!IsReusable(*connection, aNow)) {
       mIdleConnections.erase(it);
       connection->Close();
