Repeat bronzedeald's lost reads in time for the activation of documents

The readers change each 10 s, but not in a fleet of three.

Change: the wait, the margin and the longest pause follow from kActivationTime: 2.45 s, 1 s and 2.45 s, with one pull below 7 s. The instance list is read with the same wait.

Cost: below 3 reads/s of the service for the whole fleet instead of 1/s, of 2,000/s.

--- a/include/bronzedeal/process/config_distributor.hpp
+++ b/include/bronzedeal/process/config_distributor.hpp
@@ -47,17 +47,24 @@
     applyPatch;
 };
 
+/// Time within which a published document must be in force at all instances.
+inline constexpr milliseconds kActivationTime{ 7000 };
+
+/// How long the service may hold a read open when it has nothing newer. A read
+/// can be lost without the end of its connection; it is then repeated, after a
+/// pause, in time for `kActivationTime`.
+inline constexpr milliseconds kLongPollWait = kActivationTime * 7 / 20;
+
 struct ConfigOptions
 {
   /// Live members that read the configuration service at a time.
   std::size_t readerCount = 3;
-  /// How long the service may hold a read open when it has no newer document.
-  milliseconds longPollWait{ 25000 };
+  milliseconds longPollWait = kLongPollWait;
   /// Range of the delay after a failed read, or after one that returned a
   /// document that is not newer. The delay doubles each time, and up to half of
   /// it is taken off at random.
   Duration backoffMin = milliseconds(200);
-  Duration backoffMax = milliseconds(10000);
+  Duration backoffMax = kActivationTime * 7 / 20;
   /// An unanswered pull is repeated with another peer after this time.
   Duration pullTimeout = milliseconds(500);
   /// How long after the first tick a member that has never been heard from
@@ -70,7 +77,7 @@
   /// started its own.
   Duration formerReadLinger = milliseconds(1000);
   /// An unanswered read counts as failed this long after `longPollWait`.
-  Duration readTimeoutMargin = milliseconds(5000);
+  Duration readTimeoutMargin = kActivationTime / 7;
   /// Shortest time between the starts of two reads, for a service that answers
   /// at once.
   Duration minReadInterval = milliseconds(200);
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -32,7 +32,6 @@
 
 constexpr milliseconds kTickInterval{ 50 };
 constexpr std::chrono::seconds kReaderSelectionWindow{ 10 };
-constexpr milliseconds kInstanceListWait{ 25'000 };
 // Shortest time between two requests to peers for the instance list.
 constexpr milliseconds kRosterPullInterval{ 250 };
 
@@ -623,7 +622,7 @@
     membership.Roster().end(),
     [&](const RosterEntry& aEntry) { return aEntry.id == settings.instance; });
   if (platform.MayReadList(aNow) && (!isListed || IsSelectedReader())) {
-    StartListRead(isListed ? kInstanceListWait : milliseconds(0));
+    StartListRead(isListed ? kLongPollWait : milliseconds(0));
   }
   if (aNow < nextRosterPull) {
     return;
