Apply changed bounds of the metadata waits at once

A changed settings file took effect for limits and grace times, but the bounds that the waits on the metadata service follow from stayed those of the start. They are read at each use, so that they only have to be replaced. Not covered by a test of its own.

--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -495,6 +495,9 @@
     settings.coldServerLimits = reload.settings->coldServerLimits;
     settings.shutdownGrace = reload.settings->shutdownGrace;
     settings.addressTtl = reload.settings->addressTtl;
+    settings.contactTime = reload.settings->contactTime;
+    settings.configActivationTime = reload.settings->configActivationTime;
+    settings.maxDrainTime = reload.settings->maxDrainTime;
     process.log.Write(
       "settings_reloaded",
       { { "seeds", static_cast<std::int64_t>(settings.seeds.size()) } });
