--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -24,6 +24,31 @@
   return std::string(16, aByte);
 }
 
+/// The server of group `g0`: refuses the first request, and runs each further
+/// one. On the connection of the refusal a copy of it arrives in place of the
+/// answer.
+class CopyingServer
+{
+public:
+  CopyingServer(TestGateway& aFixture, const Reaction& aAnswer)
+    : mServer(aFixture.process.context, [this, aAnswer](auto&) {
+      const Reaction refusal{ Response(
+        503, "X-Request-Id: r-1\r\nX-Not-Run: 1\r\n", "") };
+      return mServer.ConnectionCount() == 1 ? refusal : aAnswer;
+    })
+  {
+    aFixture.AddServer("s-0", "g0", mServer.Address());
+  }
+
+  [[nodiscard]] std::size_t RunCount() const
+  {
+    return mServer.Requests().size() - 1;
+  }
+
+private:
+  ScriptedServer mServer;
+};
+
 } // namespace
 
 // Guards against answers that clear a content although no server has run it.
@@ -94,22 +119,10 @@
 TEST(SingleExchange, TakesNoCopyOfARefusalForTheAnswerToItsSecondSend)
 {
   TestGateway fixture;
-  const std::string refusal =
-    Response(503, "X-Request-Id: r-1\r\nX-Not-Run: 1\r\n", "");
-  unsigned runs = 0;
-  ScriptedServer server(fixture.process.context, [&](auto&) {
-    if (server.Requests().size() == 1) {
-      return Reaction{ refusal };
-    }
-    ++runs;
-    // The copy arrives on the connection of the refusal only.
-    return server.ConnectionCount() == 1 ? Reaction{ refusal }
-                                         : SuccessAnswer();
-  });
-  fixture.AddServer("s-0", "g0", server.Address());
+  const CopyingServer server(fixture, SuccessAnswer());
   fixture.Publish({ TestGateway::SingleRoute(Repeatability::AtMostOnce) });
   EXPECT_EQ(fixture.Ask("/one/a").status, 200U);
-  EXPECT_EQ(runs, 1U);
+  EXPECT_EQ(server.RunCount(), 1U);
 }
 
 // Guards against a shard that is left out, or asked once more, because a late
@@ -117,21 +130,10 @@
 TEST(FanoutExchange, TakesNoCopyOfARefusalForTheAnswerToItsSecondSend)
 {
   TestGateway fixture;
-  const std::string refusal =
-    Response(503, "X-Request-Id: r-1\r\nX-Not-Run: 1\r\n", "");
-  unsigned runs = 0;
-  ScriptedServer server(fixture.process.context, [&](auto&) {
-    if (server.Requests().size() == 1) {
-      return Reaction{ refusal };
-    }
-    ++runs;
-    return server.ConnectionCount() == 1 ? Reaction{ refusal }
-                                         : ShardAnswer("s", Record('z'));
-  });
-  fixture.AddServer("s-0", "g0", server.Address());
+  const CopyingServer server(fixture, ShardAnswer("s", Record('z')));
   fixture.Publish({ TestGateway::FanoutRoute({ "g0" }, 1) });
   EXPECT_EQ(fixture.Ask("/all/a").status, 200U);
-  EXPECT_EQ(runs, 1U);
+  EXPECT_EQ(server.RunCount(), 1U);
 }
 
 // Guards against failing a request that one server refused because it was full.
