Take answers of instances to requests without an id

Since instances state the id of the request in their answers, one to a request without an id has none, and was taken for an answer to another request: such a request ended with 502 when handed over. An answer is taken if it states the id of the request, also if that is empty.

Test, seen to fail before (outcome unknown instead of answered): BackendServer.TakesAnAnswerToARequestWithoutIdFromAnInstance.

--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -380,12 +380,13 @@
                                 const Attempt& aAttempt) const
 {
   const auto id = aResponse[mProcess.settings.headerNames.requestId];
-  if (!id.empty() || !mRecord.isInstance) {
-    return id == aAttempt.request->requestId;
+  if (id == aAttempt.request->requestId) {
+    return true;
   }
   // Instances of former versions state no id. Others state none if they can't
   // read the request; such an answer is the last one on its connection.
-  return !mRecord.statesRequestId || !aResponse.keep_alive();
+  return id.empty() && mRecord.isInstance &&
+         (!mRecord.statesRequestId || !aResponse.keep_alive());
 }
 
 void BackendServer::OnExpired(const std::shared_ptr<Attempt>& aAttempt)
--- a/tests/gateway/backend_server_test.cpp
+++ b/tests/gateway/backend_server_test.cpp
@@ -126,6 +126,24 @@
   }
 }
 
+// Guards against requests without an id, which no instance can state.
+TEST(BackendServer, TakesAnAnswerToARequestWithoutIdFromAnInstance)
+{
+  TestGateway fixture;
+  ScriptedServer peer(fixture.process.context, [](auto&) {
+    return Reaction{ Response(400, "X-Request-Id: \r\n", "") };
+  });
+  auto record = MakeRecord(peer.Address());
+  record.isInstance = true;
+  record.statesRequestId = true;
+  const auto backend = std::make_shared<BackendServer>(fixture.process, record);
+  std::optional<AttemptResult> result;
+  backend->Send(MakeRequest(),
+                [&](auto aResult, auto, auto*) { result = aResult; });
+  fixture.RunUntil([&] { return result.has_value(); });
+  EXPECT_EQ(result, AttemptResult::Answered);
+}
+
 // Guards against answers of servers that are passed on with a second id.
 TEST(BackendServer, StatesTheRequestIdOnce)
 {
