--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -76,12 +77,16 @@
         standin.Instance = DeployedInstance
         self.metrics_port = free_port()
         super().__init__(self.temporary.name, instances=instances, **options)
-        self.timeout_ms = timeout_ms
-        self.publish()
-        for it in self.instances:
-            if not self.wait(it.ready):
-                raise CannotRun("%s isn't ready" % it.name)
-        time.sleep(3)  # The configuration is in force everywhere.
+        try:
+            self.timeout_ms = timeout_ms
+            self.publish()
+            for it in self.instances:
+                if not self.wait(it.ready):
+                    raise CannotRun("%s isn't ready" % it.name)
+            time.sleep(3)  # The configuration is in force everywhere.
+        except BaseException:
+            self.close()
+            raise
 
     def republish(self):
         self.config["limits"] = dict(CALLER_LIMITS)
@@ -126,6 +131,11 @@
 
 def run_case(folder, play):
     """Runs `play(record)`, which returns HELD or BROKEN, and exits."""
+    def end(number, frame):
+        raise CannotRun("ended by signal %d" % number)
+
+    for it in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(it, end)
     record = Record(folder)
     record.write("trouble: %s" % ("on" if WITH_TROUBLE else "off"))
     try:
