Review: an instance with slow requests stays cut off after a cut

BUDGET is broken: more than three requests run, in one client attempt, on more servers than their route's max-attempts, after the cut has ended.

Order of events: an instance is cut off from all servers for 5 s, and its connections hang. The links come back. Requests take 0.42 s of a target latency of 0.5 s, so no trial is answered in time, and the instance stays cut off.

The links of the project's stand-in listen on another port after a cut that refuses connections, so they never came back. common3/deployment.py mends that for this review.

--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -39,6 +40,23 @@
                  "header-timeout-ms": 3000, "idle-timeout-ms": 15000}
 
 
+class LastingProxy(standin.Proxy):
+    """A proxy that accepts again on the port that it had before it refused.
+
+    A listener that is shut down gives back a port that the system chose, and
+    would listen on another one.
+    """
+
+    def refuse(self):
+        if self.refusing:
+            return
+        super().refuse()
+        self.socket.close()
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(("127.0.0.1", self.port))
+
+
 class DeployedInstance(standin.Instance):
     """A gateway process, started as the deploy file says."""
 
@@ -75,6 +93,7 @@
             raise CannotRun("target/bronzedeal-gateway isn't built")
         self.temporary = tempfile.TemporaryDirectory()
         standin.Instance = DeployedInstance
+        standin.Proxy = LastingProxy
         self.metrics_port = free_port()
         super().__init__(self.temporary.name, instances=instances, **options)
         try:
