--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -47,6 +47,7 @@
 #include "bronzedeal/gateway/http_message.hpp"
 #include "bronzedeal/gateway/link_evidence.hpp"
 #include "bronzedeal/gateway/listener_limits.hpp"
+#include "bronzedeal/gateway/live_servers.hpp"
 #include "bronzedeal/gateway/memory_budget.hpp"
 #include "bronzedeal/gateway/metadata_follower.hpp"
 #include "bronzedeal/gateway/metadata_history.hpp"
--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -93,6 +93,7 @@
 class FleetShares;
 class Gateway;
 class LinkEvidence;
+class LiveServers;
 struct ListenerLimits;
 class MemoryBudget;
 class MetadataFollower;
--- a/include/bronzedeal/gateway/backend_server.hpp
+++ b/include/bronzedeal/gateway/backend_server.hpp
@@ -259,6 +259,10 @@
   static void ProbeWithLinks(const std::weak_ptr<BackendServer>& aServer);
   /// Records that the server has answered an attempt.
   void OnAnswer(const Attempt& aAttempt, TimePoint aNow);
+  /// Records an answer that proves that this run of the server goes on.
+  void OnProvenRun(const Attempt& aAttempt,
+                   const ServerConnection& aConnection,
+                   TimePoint aNow);
   /// Records that the server has left an attempt without an answer, because the
   /// connection broke off or for too long.
   void AddCutRun(const Attempt& aAttempt, bool aBrokeOff, TimePoint aNow);
--- a/include/bronzedeal/gateway/crash_notice.hpp
+++ b/include/bronzedeal/gateway/crash_notice.hpp
@@ -32,6 +32,9 @@
   std::vector<Run> unprovenRuns;
   /// Age of the latest answer of a server to this content, if one is known.
   std::optional<std::chrono::microseconds> answeredAge;
+  /// Age of the loss of several attempts of one request. Told only with a
+  /// request that is handed over.
+  std::optional<std::chrono::microseconds> unansweredAge;
   /// Longest time that a trial of the sender will still take; 0 if its trial
   /// has ended.
   std::optional<std::chrono::microseconds> trialTime;
--- a/include/bronzedeal/gateway/crash_quarantine.hpp
+++ b/include/bronzedeal/gateway/crash_quarantine.hpp
@@ -3,6 +3,7 @@
 #include "bronzedeal/gateway/content_id.hpp"
 #include "bronzedeal/gateway/crash_notice.hpp"
 #include "bronzedeal/gateway/cut_runs.hpp"
+#include "bronzedeal/gateway/live_servers.hpp"
 #include "bronzedeal/gateway/recent_contents.hpp"
 #include "bronzedeal/types.hpp"
 
@@ -13,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace bronzedeal::gateway {
@@ -41,6 +43,8 @@
   Answered,
   /// Another instance has told of one of these.
   Told,
+  /// A server that left a run without an answer has not ended.
+  ServerAlive,
 };
 
 [[nodiscard]] std::string_view Name(VerdictCause aCause) noexcept;
@@ -79,7 +83,10 @@
 /// The end of a server is proven some seconds later. Until then, runs without
 /// an answer count like ends, but what follows from them holds only for the
 /// time of the proof; two servers that left the content unanswered at the same
-/// time make it suspect, too.
+/// time make it suspect, too. Such a run may as well have been lost with a link
+/// of the instance that sent it. It doesn't count once its server is known to
+/// have run on, or once the content was answered after it, by any server and at
+/// any instance.
 ///
 /// An instance that hears of no instance in other failure domains doesn't know
 /// how many servers the content has ended there. What all of them may still
@@ -102,8 +109,9 @@
     /// The same for a content that was never answered here, while this instance
     /// hears of no instance in other failure domains.
     unsigned isolatedCrashes = 1;
-    /// Number of contents whose last answers are remembered.
+    /// Number of contents, and of servers, whose last answers are remembered.
     std::size_t answeredContents = 8192;
+    std::size_t answeringServers = 16384;
     /// Time after which a caller may return if its content is quarantined for
     /// lack of news from others.
     Duration isolatedReturnDelay = std::chrono::seconds(1);
@@ -139,6 +147,11 @@
   [[nodiscard]] ContentVerdict VerdictOf(const ContentId& aContent,
                                          TimePoint aNow) const;
 
+  /// True if the content is quarantined whether or not the runs without an
+  /// answer are evidence against it.
+  [[nodiscard]] bool IsQuarantineProven(const ContentId& aContent,
+                                        TimePoint aNow) const;
+
   /// Time until a quarantined content may be tried again; 0 for others.
   [[nodiscard]] Duration TimeUntilTrial(const ContentId& aContent,
                                         TimePoint aNow) const;
@@ -163,14 +176,23 @@
   /// then.
   void OnCut(const ContentId& aContent, const LostRun& aRun, TimePoint aNow);
 
-  /// Records that servers broke off several attempts of a request and answered
-  /// none. This makes the content suspect at this instance until the ends of
-  /// these servers are proven.
-  void OnUnanswered(const ContentId& aContent, TimePoint aNow);
+  /// Records that servers broke off several attempts of a request, the last one
+  /// at `aLostAt`, and answered none. This makes the content suspect at this
+  /// instance until the ends of these servers are proven.
+  void OnUnanswered(const ContentId& aContent,
+                    TimePoint aLostAt,
+                    TimePoint aNow);
 
   /// Records an answer that proves a run of the content.
   void OnAnswered(const ContentId& aContent, TimePoint aNow);
 
+  /// Records that a server has answered a request of any content, which was
+  /// sent at `aSentAt`, and that it has not ended since `aRunningSince`.
+  void OnServerAnswered(std::uint32_t aServer,
+                        TimePoint aRunningSince,
+                        TimePoint aSentAt,
+                        TimePoint aNow);
+
   /// Adopts what another instance knows.
   void Merge(const std::vector<CrashNotice>& aNotices, TimePoint aNow);
 
@@ -195,6 +217,11 @@
   /// most as many as `maxContents`.
   [[nodiscard]] std::vector<CrashNotice> AllNotices(TimePoint aNow) const;
 
+  /// What makes a content suspect or quarantined, for the instance that a
+  /// request with it is handed to; nothing for others.
+  [[nodiscard]] std::optional<CrashNotice> NoticeOf(const ContentId& aContent,
+                                                    TimePoint aNow) const;
+
   [[nodiscard]] std::size_t QuarantinedCount(TimePoint aNow) const;
 
   /// Number of contents in the table.
@@ -214,7 +241,8 @@
     /// Runs without an answer, in order of time; at most `kMaxRuns`.
     std::vector<LostRun> unprovenRuns;
     std::optional<TimePoint> answeredAt;
-    TimePoint unansweredUntil{};
+    /// When several attempts of one request had been lost.
+    std::optional<TimePoint> unansweredAt;
     TimePoint changedAt{};
     /// Rounds that have told the last change.
     unsigned toldCount = 0;
@@ -231,6 +259,10 @@
   [[nodiscard]] Duration HoldOf(const ContentId& aContent) const;
   [[nodiscard]] bool IsOutdated(const Table::value_type& aEntry,
                                 TimePoint aNow) const;
+  [[nodiscard]] bool IsProven(const Table::value_type& aEntry,
+                              TimePoint aNow) const;
+  /// True while lost attempts of one request make the content suspect.
+  [[nodiscard]] bool IsUnanswered(const Entry& aEntry, TimePoint aNow) const;
   /// Applies a change to the entry of a content and reports a new verdict.
   template<typename Change>
   void Apply(Table::value_type& aEntry,
@@ -246,6 +278,11 @@
   /// Number of lost runs from which on the content is quarantined.
   [[nodiscard]] std::size_t MaxLostRuns(const ContentId& aContent) const;
   [[nodiscard]] bool IsWeak(const Entry& aEntry) const;
+  /// True if the content was answered after a run of it had ended.
+  [[nodiscard]] bool WasAnsweredSince(const ContentId& aContent,
+                                      TimePoint aEndedAt) const;
+  /// True if the server of a run without an answer has not ended with it.
+  [[nodiscard]] bool HasServerSurvived(const LostRun& aRun) const;
   void EndTrial(const ContentId& aContent);
   /// Calls the handler if something urgent hasn't been told yet.
   void NotifyIfUrgent();
@@ -260,6 +297,9 @@
   ChangeHandler mOnChange;
   Table mContents;
   RecentContents mAnswered;
+  LiveServers mLiveServers;
+  /// Servers of the runs without an answer, and some of former ones.
+  std::unordered_set<std::uint32_t> mUnprovenServers;
   bool mIsIsolated = false;
   std::function<void()> mOnUrgent;
   bool mIsUrgent = false;
--- a/include/bronzedeal/gateway/cut_runs.hpp
+++ b/include/bronzedeal/gateway/cut_runs.hpp
@@ -41,8 +41,8 @@
   void Add(const Run& aRun);
 
   /// The server has answered a request that was sent at `aSentAt`: it has not
-  /// ended before.
-  void OnAnswered(TimePoint aSentAt);
+  /// ended before. Returns true if runs waited for the verdict.
+  bool OnAnswered(TimePoint aSentAt);
 
   /// Records that this instance's links to servers work, after the server has
   /// refused a connection.
--- a/include/bronzedeal/gateway/handover.hpp
+++ b/include/bronzedeal/gateway/handover.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "bronzedeal/gateway/crash_notice.hpp"
 #include "bronzedeal/gateway/exchange.hpp"
+#include "bronzedeal/gateway/reach_view.hpp"
 
 #include <functional>
 #include <optional>
@@ -16,11 +18,15 @@
   std::chrono::microseconds elapsed{ 0 };
   /// See `CallerRequest::networkDelay`.
   std::chrono::microseconds networkDelay{ 0 };
-  /// The content is suspect at the instance that hands over.
+  /// The content is suspect at the instance that hands over. Stated only to
+  /// instances that don't take `notices`.
   bool isSuspect = false;
+  /// What the instance that hands over knows against the content.
+  std::vector<CrashNotice> notices;
 };
 
-/// Returns the header line that marks a request as handed over.
+/// Returns the header line that marks a request as handed over. With `notices`,
+/// only instances with `PeerCapability::TakesHandoverState` understand it.
 [[nodiscard]] std::string EncodeHandover(const Handover& aHandover);
 
 /// Parses and removes the mark of a request; nothing if it has none or a
@@ -39,11 +45,10 @@
 /// A helper that refuses has not run the request, so another one is asked,
 /// once. After a lost answer the request may have run, and is not sent again.
 /// Returns null, without using the request, when no helper has room.
-std::shared_ptr<Exchange> StartHandoverExchange(
-  const ExchangeContext& aContext,
-  RoutedRequest& aRequest,
-  const std::vector<InstanceId>& aHelpers,
-  ReplyHandler& aReply);
+std::shared_ptr<Exchange> StartHandoverExchange(const ExchangeContext& aContext,
+                                                RoutedRequest& aRequest,
+                                                const HelperSet& aHelpers,
+                                                ReplyHandler& aReply);
 
 /// Serves a request by this instance's servers.
 using ServeHandler =
@@ -54,7 +59,7 @@
 /// that is cut off answer again. Only for idempotent requests.
 std::shared_ptr<Exchange> StartTrialExchange(const ExchangeContext& aContext,
                                              RoutedRequest aRequest,
-                                             std::vector<InstanceId> aHelpers,
+                                             HelperSet aHelpers,
                                              const ServeHandler& aServe,
                                              ReplyHandler aReply);
 
--- a/include/bronzedeal/gateway/peer_capability.hpp
+++ b/include/bronzedeal/gateway/peer_capability.hpp
@@ -13,9 +13,11 @@
   Handover,
   /// States the id of the request in its answers to other instances.
   StatesRequestId,
+  /// Takes what is known of a request's content along with its hand-over.
+  TakesHandoverState,
 };
 
-inline constexpr unsigned kPeerCapabilityCount = 2;
+inline constexpr unsigned kPeerCapabilityCount = 3;
 
 /// A set of capabilities. Those that this version doesn't know are kept, so
 /// that they can be passed on.
--- a/include/bronzedeal/gateway/reach_view.hpp
+++ b/include/bronzedeal/gateway/reach_view.hpp
@@ -7,6 +7,14 @@
 
 namespace bronzedeal::gateway {
 
+/// Instances that requests may be handed to.
+struct HelperSet
+{
+  std::vector<InstanceId> instances;
+  /// All of them take what is known of a request along with it.
+  bool takeState = false;
+};
+
 /// Compares how much of the backend servers this instance reaches with what
 /// others reach. Servers that are gone for all instances lower all values
 /// alike; a lower value here means that the network separates this instance
@@ -48,9 +56,14 @@
     return mHelpers;
   }
 
+  /// The helpers that take the state of a request along with it; all of them
+  /// if none does.
+  [[nodiscard]] HelperSet PreferredHelpers() const;
+
 private:
   Options mOptions;
   std::vector<InstanceId> mHelpers;
+  std::vector<InstanceId> mHelpersWithState;
   std::optional<TimePoint> mLessSince;
   bool mIsCutOff = false;
 };
--- a/include/bronzedeal/gateway/server_connection.hpp
+++ b/include/bronzedeal/gateway/server_connection.hpp
@@ -72,6 +72,9 @@
     return aNow - mIdleSince;
   }
 
+  /// When the connect succeeded.
+  [[nodiscard]] TimePoint OpenedAt() const noexcept { return mOpenedAt; }
+
   /// The requests that this connection has carried. The sender adds them, if it
   /// matches responses by id.
   [[nodiscard]] CarriedRequests& Carried() noexcept { return mCarried; }
@@ -123,6 +126,7 @@
   bool mIsWriting = false;
   bool mIsHeadRequest = false;
   bool mKeepAlive = true;
+  TimePoint mOpenedAt{};
   TimePoint mIdleSince{};
   /// End of the server's idle timeout, if it states one, less a margin.
   TimePoint mReusableUntil = TimePoint::max();
--- a/src/gateway/backend_server.cpp
+++ b/src/gateway/backend_server.cpp
@@ -367,7 +367,7 @@
   } else {
     if (ProvesRun(*aResponse, headerNames)) {
       // The expected server has answered. An error may come from another one.
-      mCutRuns.OnAnswered(aAttempt->sentAt);
+      OnProvenRun(*aAttempt, *connection, now);
     }
     AddOutcomeSample(aResponse->result_int() >= 500, now);
     AddLatencySample(aAttempt->request->profile, now - aAttempt->sentAt, now);
--- a/src/gateway/backend_server_evidence.cpp
+++ b/src/gateway/backend_server_evidence.cpp
@@ -98,6 +98,33 @@
   }
 }
 
+void BackendServer::OnProvenRun(const Attempt& aAttempt,
+                                const ServerConnection& aConnection,
+                                TimePoint aNow)
+{
+  if (mRecord.isInstance) {
+    return;
+  }
+  auto& quarantine = mProcess.crashQuarantine;
+  quarantine.OnServerAnswered(
+    RunHash(), aConnection.OpenedAt(), aAttempt.sentAt, aNow);
+  if (!mCutRuns.OnAnswered(aAttempt.sentAt)) {
+    return;
+  }
+  // A server may have ended and started again with the same id. Its new start
+  // is known within this time.
+  mProcess.timers.Schedule(
+    aNow + mProcess.settings.maxDrainTime,
+    [self = weak_from_this(), sentAt = aAttempt.sentAt] {
+      const auto server = self.lock();
+      if (server && !server->mRetired &&
+          server->mProcess.peers.Self().metadataReachable) {
+        server->mProcess.crashQuarantine.OnServerAnswered(
+          server->RunHash(), TimePoint{}, sentAt, steady_clock::now());
+      }
+    });
+}
+
 void BackendServer::OnUnanswered(Attempt& aAttempt, TimePoint aNow)
 {
   if (!std::exchange(aAttempt.unanswered, true)) {
--- a/src/gateway/crash_notice.cpp
+++ b/src/gateway/crash_notice.cpp
@@ -18,11 +18,12 @@
 constexpr std::string_view kNoticesKey = "crashes";
 constexpr std::string_view kUnprovenKey = "unproven";
 constexpr std::string_view kTrialsKey = "trials";
+constexpr std::string_view kUnansweredKey = "unanswered";
 /// Elements of a notice: the content, the age of the answer, and the runs as
 /// three numbers each. The other lists have a content, and runs or a time.
 constexpr std::size_t kNoticeHeadCount = 2;
 constexpr std::size_t kUnprovenHeadCount = 1;
-constexpr std::size_t kTrialFieldCount = 2;
+constexpr std::size_t kTimeFieldCount = 2;
 constexpr std::size_t kRunFieldCount = 3;
 
 std::optional<microseconds> AgeOf(const json::value& aValue)
@@ -99,16 +100,29 @@
            : std::nullopt;
 }
 
-std::optional<CrashNotice> DecodeTrial(const json::value& aRow)
+/// A notice with a content and the time of it that `aTime` names.
+std::optional<CrashNotice> DecodeTime(
+  const json::value& aRow,
+  std::optional<microseconds> CrashNotice::*aTime)
 {
-  const auto content = DecodeContent(aRow, kTrialFieldCount);
+  const auto content = DecodeContent(aRow, kTimeFieldCount);
   if (!content) {
     return std::nullopt;
   }
   CrashNotice notice;
   notice.content = *content;
-  notice.trialTime = AgeOf(aRow.get_array()[1]);
-  return notice.trialTime ? std::optional(std::move(notice)) : std::nullopt;
+  notice.*aTime = AgeOf(aRow.get_array()[1]);
+  return notice.*aTime ? std::optional(std::move(notice)) : std::nullopt;
+}
+
+std::optional<CrashNotice> DecodeTrial(const json::value& aRow)
+{
+  return DecodeTime(aRow, &CrashNotice::trialTime);
+}
+
+std::optional<CrashNotice> DecodeUnanswered(const json::value& aRow)
+{
+  return DecodeTime(aRow, &CrashNotice::unansweredAge);
 }
 
 /// Decodes a list of a datagram and appends its notices.
@@ -151,6 +165,7 @@
   json::array rows;
   json::array unproven;
   json::array trials;
+  json::array unanswered;
   for (const auto& notice : aNotices) {
     const auto content = ToHex(notice.content);
     json::array row{ content, nullptr };
@@ -167,6 +182,10 @@
     if (notice.trialTime) {
       trials.push_back(json::array{ content, notice.trialTime->count() });
     }
+    if (notice.unansweredAge) {
+      unanswered.push_back(
+        json::array{ content, notice.unansweredAge->count() });
+    }
   }
   json::object root{ { kNoticesKey, std::move(rows) } };
   if (!unproven.empty()) {
@@ -175,6 +194,9 @@
   if (!trials.empty()) {
     root[kTrialsKey] = std::move(trials);
   }
+  if (!unanswered.empty()) {
+    root[kUnansweredKey] = std::move(unanswered);
+  }
   return json::serialize(root);
 }
 
@@ -191,7 +213,8 @@
   if (root == nullptr || !root->contains(kNoticesKey) ||
       !DecodeList(*root, kNoticesKey, DecodeNotice, notices) ||
       !DecodeList(*root, kUnprovenKey, DecodeUnproven, notices) ||
-      !DecodeList(*root, kTrialsKey, DecodeTrial, notices)) {
+      !DecodeList(*root, kTrialsKey, DecodeTrial, notices) ||
+      !DecodeList(*root, kUnansweredKey, DecodeUnanswered, notices)) {
     return std::nullopt;
   }
   return notices;
--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -20,10 +20,11 @@
                                                          "suspect",
                                                          "quarantined" };
 /// In the order of `VerdictCause`.
-constexpr std::array<std::string_view, 4> kCauseNames{ "server_ended",
+constexpr std::array<std::string_view, 5> kCauseNames{ "server_ended",
                                                        "unanswered",
                                                        "answered",
-                                                       "told" };
+                                                       "told",
+                                                       "server_alive" };
 
 /// Rounding all times alike keeps their order: a run that follows another one
 /// at once must not overlap it.
@@ -82,6 +83,7 @@
   , mOptions(aOptions)
   , mOnChange(std::move(aOnChange))
   , mAnswered(aOptions.answeredContents)
+  , mLiveServers(aOptions.answeringServers)
 {
 }
 
@@ -114,21 +116,39 @@
   if (IsOutdated(aEntry, aNow)) {
     return ContentVerdict::Free;
   }
-  const auto maxLostRuns = MaxLostRuns(content);
-  const bool isProven = entry.runs.size() >= maxLostRuns &&
-                        aNow < entry.runs.back().endedAt + HoldOf(content);
   const bool awaitsProof = AwaitsProof(entry, aNow);
-  if (isProven || (awaitsProof && CountLostRuns(entry) >= maxLostRuns)) {
+  if (IsProven(aEntry, aNow) ||
+      (awaitsProof && CountLostRuns(entry) >= MaxLostRuns(content))) {
     return ContentVerdict::Quarantined;
   }
   const bool isSuspect =
-    entry.runs.size() >= mOptions.suspectCrashes ||
-    aNow < entry.unansweredUntil ||
+    entry.runs.size() >= mOptions.suspectCrashes || IsUnanswered(entry, aNow) ||
     (awaitsProof && (entry.unprovenRuns.size() >= mOptions.suspectCrashes ||
                      CountLostRuns(entry) >= mOptions.suspectCrashes));
   return isSuspect ? ContentVerdict::Suspect : ContentVerdict::Free;
 }
 
+bool CrashQuarantine::IsProven(const Table::value_type& aEntry,
+                               TimePoint aNow) const
+{
+  const auto& [content, entry] = aEntry;
+  return entry.runs.size() >= MaxLostRuns(content) &&
+         aNow < entry.runs.back().endedAt + HoldOf(content);
+}
+
+bool CrashQuarantine::IsQuarantineProven(const ContentId& aContent,
+                                         TimePoint aNow) const
+{
+  const auto it = mContents.find(aContent);
+  return it != mContents.end() && IsProven(*it, aNow);
+}
+
+bool CrashQuarantine::IsUnanswered(const Entry& aEntry, TimePoint aNow) const
+{
+  return aEntry.unansweredAt &&
+         aNow < *aEntry.unansweredAt + mOptions.verdictTime;
+}
+
 std::size_t CrashQuarantine::MaxLostRuns(const ContentId& aContent) const
 {
   return mIsIsolated && !mAnswered.Contains(aContent)
@@ -197,7 +217,7 @@
 {
   const auto& [content, entry] = aEntry;
   auto until =
-    std::max({ entry.unansweredUntil,
+    std::max({ entry.unansweredAt.value_or(TimePoint{}) + mOptions.verdictTime,
                entry.otherTrialUntil,
                entry.answeredAt.value_or(TimePoint{}) + mOptions.memory });
   if (!entry.unprovenRuns.empty()) {
@@ -258,6 +278,12 @@
                                         const LostRun& aRun,
                                         TimePoint aNow)
 {
+  if (WasAnsweredSince(aContent, aRun.endedAt)) {
+    const auto it = mContents.find(aContent);
+    return it == mContents.end()
+             ? 0
+             : static_cast<unsigned>(it->second.runs.size());
+  }
   auto& row = FindOrCreate(aContent, aNow);
   Apply(row, VerdictCause::ServerEnded, aNow, [&](Entry& aEntry) {
     AddRun(aEntry, aRun, aNow);
@@ -296,10 +322,14 @@
     return aIt.endedAt + mOptions.verdictTime <= aNow;
   });
   if (HasServer(runs, aRun.server) || HasServer(aEntry.runs, aRun.server) ||
-      aRun.endedAt + mOptions.verdictTime <= aNow ||
+      aRun.endedAt + mOptions.verdictTime <= aNow || HasServerSurvived(aRun) ||
       (aEntry.answeredAt && aRun.endedAt <= *aEntry.answeredAt)) {
     return;
   }
+  if (mUnprovenServers.size() >= mOptions.maxContents * kMaxRuns) {
+    mUnprovenServers.clear();
+  }
+  mUnprovenServers.insert(aRun.server);
   runs.push_back(aRun);
   SortByEnd(runs);
   if (runs.size() > kMaxRuns) {
@@ -325,6 +355,9 @@
                             const LostRun& aRun,
                             TimePoint aNow)
 {
+  if (WasAnsweredSince(aContent, aRun.endedAt) || HasServerSurvived(aRun)) {
+    return;
+  }
   auto& row = FindOrCreate(aContent, aNow);
   Apply(row, VerdictCause::Unanswered, aNow, [&](Entry& aEntry) {
     AddUnprovenRun(aEntry, aRun, aNow);
@@ -332,17 +365,61 @@
   NotifyIfUrgent();
 }
 
-void CrashQuarantine::OnUnanswered(const ContentId& aContent, TimePoint aNow)
+bool CrashQuarantine::WasAnsweredSince(const ContentId& aContent,
+                                       TimePoint aEndedAt) const
+{
+  const auto answeredAt = mAnswered.LastAdded(aContent);
+  return answeredAt && aEndedAt <= *answeredAt;
+}
+
+bool CrashQuarantine::HasServerSurvived(const LostRun& aRun) const
+{
+  return mLiveServers.HasRunThrough(aRun.server, aRun.sentAt, aRun.endedAt);
+}
+
+void CrashQuarantine::OnServerAnswered(std::uint32_t aServer,
+                                       TimePoint aRunningSince,
+                                       TimePoint aSentAt,
+                                       TimePoint aNow)
+{
+  mLiveServers.OnAnswered(aServer, aRunningSince, aSentAt);
+  if (!mUnprovenServers.contains(aServer)) {
+    return;
+  }
+  bool isNeeded = false;
+  for (auto& it : mContents) {
+    if (!HasServer(it.second.unprovenRuns, aServer)) {
+      continue;
+    }
+    Apply(it, VerdictCause::ServerAlive, aNow, [&](Entry& aEntry) {
+      std::erase_if(aEntry.unprovenRuns, [&](const auto& aRun) {
+        return aRun.server == aServer && HasServerSurvived(aRun);
+      });
+    });
+    isNeeded = isNeeded || HasServer(it.second.unprovenRuns, aServer);
+  }
+  if (!isNeeded) {
+    mUnprovenServers.erase(aServer);
+  }
+}
+
+void CrashQuarantine::OnUnanswered(const ContentId& aContent,
+                                   TimePoint aLostAt,
+                                   TimePoint aNow)
 {
+  if (WasAnsweredSince(aContent, aLostAt)) {
+    return;
+  }
   auto& row = FindOrCreate(aContent, aNow);
   Apply(row, VerdictCause::Unanswered, aNow, [&](Entry& aEntry) {
-    aEntry.unansweredUntil = aNow + mOptions.verdictTime;
+    aEntry.unansweredAt =
+      std::max(aEntry.unansweredAt.value_or(aLostAt), aLostAt);
   });
 }
 
 void CrashQuarantine::OnAnswered(const ContentId& aContent, TimePoint aNow)
 {
-  mAnswered.Add(aContent);
+  mAnswered.Add(aContent, aNow);
   if (const auto it = mContents.find(aContent); it != mContents.end()) {
     Apply(*it, VerdictCause::Answered, aNow, [&](Entry& aEntry) {
       AddAnswer(aEntry, aNow, aNow);
@@ -359,7 +436,9 @@
     return;
   }
   aEntry.answeredAt = aAnsweredAt;
-  aEntry.unansweredUntil = TimePoint{};
+  if (aEntry.unansweredAt && *aEntry.unansweredAt <= aAnsweredAt) {
+    aEntry.unansweredAt.reset();
+  }
   aEntry.otherTrialUntil = TimePoint{};
   const bool wasWeak = IsWeak(aEntry);
   const auto isBefore = [&](const auto& aIt) {
@@ -379,6 +458,9 @@
   for (const auto& notice : aNotices) {
     auto& row = FindOrCreate(notice.content, aNow);
     Apply(row, VerdictCause::Told, aNow, [&](Entry& aEntry) {
+      if (const auto answeredAt = mAnswered.LastAdded(notice.content)) {
+        AddAnswer(aEntry, *answeredAt, aNow);
+      }
       if (notice.answeredAge) {
         AddAnswer(aEntry, aNow - *notice.answeredAge, aNow);
       }
@@ -387,8 +469,19 @@
           aEntry, { it.server, aNow - it.sentAge, aNow - it.endedAge }, aNow);
       }
       for (const auto& it : notice.unprovenRuns) {
-        AddUnprovenRun(
-          aEntry, { it.server, aNow - it.sentAge, aNow - it.endedAge }, aNow);
+        const LostRun run{ it.server, aNow - it.sentAge, aNow - it.endedAge };
+        AddUnprovenRun(aEntry, run, aNow);
+        if (aEntry.answeredAt && run.endedAt <= *aEntry.answeredAt) {
+          // The sender doesn't know of the answer.
+          aEntry.MarkChanged(aNow);
+        }
+      }
+      if (notice.unansweredAge) {
+        const auto lostAt = aNow - *notice.unansweredAge;
+        if (!aEntry.answeredAt || *aEntry.answeredAt < lostAt) {
+          aEntry.unansweredAt =
+            std::max(aEntry.unansweredAt.value_or(lostAt), lostAt);
+        }
       }
       if (notice.trialTime) {
         aEntry.otherTrialUntil = aNow + *notice.trialTime;
@@ -516,6 +609,22 @@
   return notices;
 }
 
+std::optional<CrashNotice> CrashQuarantine::NoticeOf(const ContentId& aContent,
+                                                     TimePoint aNow) const
+{
+  const auto it = mContents.find(aContent);
+  if (it == mContents.end() || VerdictOf(*it, aNow) == ContentVerdict::Free) {
+    return std::nullopt;
+  }
+  auto notice = MakeNotice(*it, aNow);
+  if (IsUnanswered(it->second, aNow)) {
+    notice.unansweredAge = AgeAt(*it->second.unansweredAt, aNow);
+  }
+  // The trial may be that of the request that is handed over.
+  notice.trialTime.reset();
+  return notice;
+}
+
 std::size_t CrashQuarantine::QuarantinedCount(TimePoint aNow) const
 {
   return static_cast<std::size_t>(
--- a/src/gateway/cut_runs.cpp
+++ b/src/gateway/cut_runs.cpp
@@ -23,9 +23,10 @@
   }
 }
 
-void CutRuns::OnAnswered(TimePoint aSentAt)
+bool CutRuns::OnAnswered(TimePoint aSentAt)
 {
-  std::erase_if(mRuns, [&](const auto& aIt) { return aIt.cutAt <= aSentAt; });
+  return std::erase_if(
+           mRuns, [&](const auto& aIt) { return aIt.cutAt <= aSentAt; }) > 0;
 }
 
 std::vector<CutRuns::Run> CutRuns::TakeEnded(TimePoint aNow)
--- a/src/gateway/fanout_canary.cpp
+++ b/src/gateway/fanout_canary.cpp
@@ -75,6 +75,7 @@
                            TimePoint aNow)
 {
   const bool wasOneAtATime = mCaution.IsOneAtATime();
+  mLastCutAt = aNow;
   if (!mCaution.OnCut(aAttemptId, aCount)) {
     FinishCut("content_suspect");
     return false;
@@ -111,7 +112,7 @@
   }
   auto& quarantine = Process().crashQuarantine;
   if (mCaution.IsContentSuspect()) {
-    quarantine.OnUnanswered(*mServerRequest->content, aNow);
+    quarantine.OnUnanswered(*mServerRequest->content, mLastCutAt, aNow);
   }
   for (const auto& it : mLostRuns) {
     quarantine.OnCut(*mServerRequest->content, it, aNow);
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -283,6 +283,8 @@
   ContentPermit mPermit;
   QueryCaution mCaution;
   std::vector<LostRun> mLostRuns;
+  /// When servers last broke off attempts.
+  TimePoint mLastCutAt{};
   /// True during the first sends, so that a send that fails at once does not
   /// end the exchange before all shards were sent.
   bool mStarting = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -200,9 +200,15 @@
   const bool canServe = CanServe(*route, now);
   if (!aWasHandedOver && !mReach.Helpers().empty() &&
       (mReach.IsCutOff() || !canServe)) {
-    const auto verdict = mProcess.crashQuarantine.VerdictOf(
-      ContentIdOf(request.caller.message), now);
-    if (verdict == ContentVerdict::Quarantined) {
+    const auto& quarantine = mProcess.crashQuarantine;
+    const auto content = ContentIdOf(request.caller.message);
+    const auto verdict = quarantine.VerdictOf(content, now);
+    auto helpers = mReach.PreferredHelpers();
+    // Lost links leave runs without an answer, too. The helper decides whether
+    // their servers may have ended.
+    const bool mayHelperDecide =
+      helpers.takeState && !quarantine.IsQuarantineProven(content, now);
+    if (verdict == ContentVerdict::Quarantined && !mayHelperDecide) {
       return Serve(std::move(request), std::move(aReply)); // It is refused.
     }
     if (verdict == ContentVerdict::Free && canServe &&
@@ -210,14 +216,13 @@
       return StartTrialExchange(
         context,
         std::move(request),
-        mReach.Helpers(),
+        std::move(helpers),
         [this](RoutedRequest aTrial, ReplyHandler aTrialReply) {
           return Serve(std::move(aTrial), std::move(aTrialReply));
         },
         std::move(aReply));
     }
-    auto exchange =
-      StartHandoverExchange(context, request, mReach.Helpers(), aReply);
+    auto exchange = StartHandoverExchange(context, request, helpers, aReply);
     if (exchange) {
       return exchange;
     }
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -169,10 +169,12 @@
     }
     if (const auto handover = TakeHandover(aRequest.message)) {
       ApplyHandover(*handover, aRequest);
+      const auto now = steady_clock::now();
       if (handover->isSuspect) {
-        process.crashQuarantine.OnUnanswered(ContentIdOf(aRequest.message),
-                                             steady_clock::now());
+        process.crashQuarantine.OnUnanswered(
+          ContentIdOf(aRequest.message), now, now);
       }
+      process.crashQuarantine.Merge(handover->notices, now);
       return gateway.Handle(
         std::move(aRequest),
         [reply = std::move(reply)](CallerReply aAnswer) {
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -14,7 +14,9 @@
 /// Marks requests, with their times, and the replies to them.
 constexpr const char* kHandoverHeader = "X-Bronzedeal-Handover";
 /// Behind the times of a request whose content is suspect.
-constexpr const char* kSuspectMark = " suspect";
+constexpr std::string_view kSuspectMark = " suspect";
+/// The state that goes along with a request, a JSON object behind the times.
+constexpr std::string_view kStateBegin = " {";
 /// The helper answers this long before the instance that handed over.
 constexpr auto kHopMargin = milliseconds(10);
 /// The way to the helper and back, which the caller waits for as well.
@@ -33,7 +35,7 @@
 public:
   HandoverExchange(const ExchangeContext& aContext,
                    RoutedRequest aRequest,
-                   std::vector<InstanceId> aHelpers,
+                   HelperSet aHelpers,
                    ReplyHandler aReply)
     : mContext(aContext)
     , mRequest(std::move(aRequest))
@@ -42,15 +44,20 @@
     , mServerRequest(MakeServerRequest(mContext, mRequest))
   {
     const auto now = steady_clock::now();
-    const bool isSuspect =
-      VerdictOf(Process(), *mServerRequest, now) != ContentVerdict::Free;
     mContent = *std::exchange(mServerRequest->content, std::nullopt);
     mServerRequest->deadline -= kHopMargin;
-    const Handover handover{
-      std::chrono::ceil<microseconds>(now - mRequest.caller.receivedAt),
-      std::chrono::ceil<microseconds>(mRequest.caller.networkDelay),
-      isSuspect
-    };
+    Handover handover;
+    handover.elapsed =
+      std::chrono::ceil<microseconds>(now - mRequest.caller.receivedAt);
+    handover.networkDelay =
+      std::chrono::ceil<microseconds>(mRequest.caller.networkDelay);
+    const auto& quarantine = Process().crashQuarantine;
+    if (!mHelpers.takeState) {
+      handover.isSuspect =
+        quarantine.VerdictOf(mContent, now) != ContentVerdict::Free;
+    } else if (auto notice = quarantine.NoticeOf(mContent, now)) {
+      handover.notices.push_back(std::move(*notice));
+    }
     mServerRequest->head.insert(mServerRequest->head.find("\r\n") + 2,
                                 EncodeHandover(handover));
   }
@@ -86,7 +93,7 @@
 
   void Send(const std::shared_ptr<BackendServer>& aHelper)
   {
-    std::erase(mHelpers, aHelper->Record().id);
+    std::erase(mHelpers.instances, aHelper->Record().id);
     ++mSendCount;
     mHelper = aHelper;
     auto attempt =
@@ -122,7 +129,7 @@
     if (!isRefused) {
       // What the server announces concerns the helper, which sends to it.
       const auto& names = Process().settings.headerNames;
-      mRunIsProven = ProvesRun(*aResponse, names);
+      RecordOutcome(*aResponse);
       aResponse->erase(names.rateLimit);
       aResponse->erase(names.leaving);
       aResponse->erase(kHandoverHeader);
@@ -133,7 +140,7 @@
       *helper, aFault, aResponse != nullptr ? aResponse->result_int() : 0);
     const auto next =
       mSendCount < kMaxHelpersPerRequest
-        ? mContext.peers.FindHelper(mHelpers, steady_clock::now())
+        ? mContext.peers.FindHelper(mHelpers.instances, steady_clock::now())
         : nullptr;
     if (next) {
       Send(next);
@@ -178,7 +185,6 @@
     const auto now = steady_clock::now();
     const auto elapsed = now - mRequest.caller.receivedAt;
     Process().metrics.ObserveQuery(Milliseconds(elapsed) / 1000);
-    RecordOutcome(aReply.status, now);
     if (aReply.status >= 500) {
       Process().log.Write(
         "request_end",
@@ -195,14 +201,17 @@
   }
 
   /// What the helper's servers did with the content holds here as well: the
-  /// next request with it may be handed to another helper.
-  void RecordOutcome(unsigned aStatus, TimePoint aNow)
+  /// next request with it may be handed to another helper. An answer that was
+  /// lost on the way from the helper says nothing of the content.
+  void RecordOutcome(const ResponseMessage& aResponse)
   {
     auto& quarantine = Process().crashQuarantine;
-    if (aStatus == 502 || aStatus == 504) {
-      quarantine.OnUnanswered(mContent, aNow);
-    } else if (mRunIsProven) {
-      quarantine.OnAnswered(mContent, aNow);
+    const auto now = steady_clock::now();
+    const auto status = aResponse.result_int();
+    if (status == 502 || status == 504) {
+      quarantine.OnUnanswered(mContent, now, now);
+    } else if (ProvesRun(aResponse, Process().settings.headerNames)) {
+      quarantine.OnAnswered(mContent, now);
     }
   }
 
@@ -218,14 +227,13 @@
   ExchangeContext mContext;
   RoutedRequest mRequest;
   /// The instances that may still be asked.
-  std::vector<InstanceId> mHelpers;
+  HelperSet mHelpers;
   ReplyHandler mReply;
   std::shared_ptr<ServerRequest> mServerRequest;
   ContentId mContent{};
   std::shared_ptr<BackendServer> mHelper;
   std::shared_ptr<Attempt> mAttempt;
   std::size_t mSendCount = 0;
-  bool mRunIsProven = false;
   TimerQueue::Handle mDeadlineTimer;
 };
 
@@ -233,20 +241,32 @@
 
 std::string EncodeHandover(const Handover& aHandover)
 {
+  std::string further(aHandover.isSuspect ? kSuspectMark : "");
+  if (!aHandover.notices.empty()) {
+    further = ' ' + EncodeCrashNotices(aHandover.notices);
+  }
   return fmt::format("{}: {} {}{}\r\n",
                      kHandoverHeader,
                      aHandover.elapsed.count(),
                      aHandover.networkDelay.count(),
-                     aHandover.isSuspect ? kSuspectMark : "");
+                     further);
 }
 
 std::optional<Handover> TakeHandover(RequestMessage& aRequest)
 {
   std::string text(aRequest[kHandoverHeader]);
   aRequest.erase(kHandoverHeader);
-  const bool isSuspect = text.ends_with(kSuspectMark);
-  if (isSuspect) {
-    text.resize(text.size() - std::string_view(kSuspectMark).size());
+  Handover handover;
+  if (const auto state = text.find(kStateBegin); state != std::string::npos) {
+    auto notices = DecodeCrashNotices(std::string_view(text).substr(state + 1));
+    if (!notices) {
+      return std::nullopt;
+    }
+    handover.notices = std::move(*notices);
+    text.resize(state);
+  } else if (text.ends_with(kSuspectMark)) {
+    handover.isSuspect = true;
+    text.resize(text.size() - kSuspectMark.size());
   }
   const auto* end = text.data() + text.size();
   std::int64_t elapsed = 0;
@@ -263,9 +283,9 @@
       !isInRange(networkDelay)) {
     return std::nullopt;
   }
-  return Handover{ microseconds(elapsed),
-                   microseconds(networkDelay),
-                   isSuspect };
+  handover.elapsed = microseconds(elapsed);
+  handover.networkDelay = microseconds(networkDelay);
+  return handover;
 }
 
 void MarkHandoverReply(CallerReply& aReply)
@@ -279,13 +299,13 @@
   aRequest.networkDelay = aHandover.networkDelay + kHopDelay;
 }
 
-std::shared_ptr<Exchange> StartHandoverExchange(
-  const ExchangeContext& aContext,
-  RoutedRequest& aRequest,
-  const std::vector<InstanceId>& aHelpers,
-  ReplyHandler& aReply)
+std::shared_ptr<Exchange> StartHandoverExchange(const ExchangeContext& aContext,
+                                                RoutedRequest& aRequest,
+                                                const HelperSet& aHelpers,
+                                                ReplyHandler& aReply)
 {
-  const auto helper = aContext.peers.FindHelper(aHelpers, steady_clock::now());
+  const auto helper =
+    aContext.peers.FindHelper(aHelpers.instances, steady_clock::now());
   if (!helper) {
     return nullptr;
   }
--- a/src/gateway/reach_view.cpp
+++ b/src/gateway/reach_view.cpp
@@ -17,6 +17,7 @@
 {
   const unsigned ownReach = aSelf.reachPercent.value_or(kUnstatedReach);
   std::vector<InstanceId> helpers;
+  std::vector<InstanceId> helpersWithState;
   unsigned best = 0;
   for (const auto& it : aOthers) {
     // An instance that callers aren't sent to has not tried its servers.
@@ -26,6 +27,9 @@
     if (mayServe && it.reachPercent &&
         *it.reachPercent >= ownReach + mOptions.minAdvantage) {
       helpers.push_back(it.instance);
+      if (it.capabilities.Has(PeerCapability::TakesHandoverState)) {
+        helpersWithState.push_back(it.instance);
+      }
       best = std::max(best, *it.reachPercent);
     }
   }
@@ -37,9 +41,17 @@
   const bool isConfirmed =
     mLessSince && aNow - *mLessSince >= mOptions.confirmTime;
   mHelpers = isConfirmed ? std::move(helpers) : std::vector<InstanceId>();
+  mHelpersWithState =
+    isConfirmed ? std::move(helpersWithState) : std::vector<InstanceId>();
   mIsCutOff = isConfirmed && ownReach < mOptions.cutOffFraction * best;
 }
 
+HelperSet ReachView::PreferredHelpers() const
+{
+  return mHelpersWithState.empty() ? HelperSet{ mHelpers, false }
+                                   : HelperSet{ mHelpersWithState, true };
+}
+
 void RemoveCutOff(std::vector<PeerState>& aInstances)
 {
   unsigned best = 0;
--- a/src/gateway/recent_contents.cpp
+++ b/src/gateway/recent_contents.cpp
@@ -15,12 +15,12 @@
 {
 }
 
-void RecentContents::Add(const ContentId& aContent)
+void RecentContents::Add(const ContentId& aContent, TimePoint aNow)
 {
-  if (mNewer.size() >= mHalfCapacity) {
+  if (mNewer.size() >= mHalfCapacity && !mNewer.contains(aContent)) {
     mOlder = std::exchange(mNewer, {});
   }
-  mNewer.insert(aContent);
+  mNewer.insert_or_assign(aContent, aNow);
 }
 
 bool RecentContents::Contains(const ContentId& aContent) const
@@ -28,4 +28,15 @@
   return mNewer.contains(aContent) || mOlder.contains(aContent);
 }
 
+std::optional<TimePoint> RecentContents::LastAdded(
+  const ContentId& aContent) const
+{
+  for (const auto* table : { &mNewer, &mOlder }) {
+    if (const auto it = table->find(aContent); it != table->end()) {
+      return it->second;
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace bronzedeal::gateway
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -81,7 +81,8 @@
       self->mSocket.non_blocking(true, ec);
     }
     self->mIsOpen = !ec;
-    self->mIdleSince = std::chrono::steady_clock::now();
+    self->mOpenedAt = std::chrono::steady_clock::now();
+    self->mIdleSince = self->mOpenedAt;
     if (ec) {
       error_code ignored;
       self->mSocket.close(ignored); // The connection has failed anyway.
--- a/src/gateway/trial_exchange.cpp
+++ b/src/gateway/trial_exchange.cpp
@@ -19,7 +19,7 @@
 public:
   TrialExchange(const ExchangeContext& aContext,
                 RoutedRequest aRequest,
-                std::vector<InstanceId> aHelpers,
+                HelperSet aHelpers,
                 ReplyHandler aReply)
     : mContext(aContext)
     , mRequest(std::move(aRequest))
@@ -79,7 +79,7 @@
 
   ExchangeContext mContext;
   RoutedRequest mRequest;
-  std::vector<InstanceId> mHelpers;
+  HelperSet mHelpers;
   ReplyHandler mReply;
   std::shared_ptr<Exchange> mExchange;
   /// True once the request is no longer served here, or must not be handed
@@ -91,7 +91,7 @@
 
 std::shared_ptr<Exchange> StartTrialExchange(const ExchangeContext& aContext,
                                              RoutedRequest aRequest,
-                                             std::vector<InstanceId> aHelpers,
+                                             HelperSet aHelpers,
                                              const ServeHandler& aServe,
                                              ReplyHandler aReply)
 {
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -47,7 +47,7 @@
 TEST(CrashQuarantine, SuspectsAnUnansweredContentUntilItIsAnswered)
 {
   auto quarantine = MakeQuarantine();
-  quarantine.OnUnanswered(kContent, kStart);
+  quarantine.OnUnanswered(kContent, kStart, kStart);
   const auto end = kStart + kServerEndProofTime;
   EXPECT_EQ(ContentVerdict::Suspect,
             quarantine.VerdictOf(kContent, end - milliseconds(1)));
@@ -55,7 +55,7 @@
   EXPECT_TRUE(quarantine.AllNotices(end - milliseconds(1)).empty());
   EXPECT_TRUE(quarantine.RecentNotices(kStart).empty());
 
-  quarantine.OnUnanswered(kContent, end + seconds(1));
+  quarantine.OnUnanswered(kContent, end + seconds(1), end + seconds(1));
   quarantine.OnAnswered(kContent, end + seconds(2));
   EXPECT_EQ(ContentVerdict::Free,
             quarantine.VerdictOf(kContent, end + seconds(2)));
@@ -204,12 +204,174 @@
     return ContentIdOf("GET", "a", "/" + std::to_string(aNumber), "");
   };
   for (int n = 0; n < 100; ++n) {
-    contents.Add(nth(n));
+    contents.Add(nth(n), kStart);
+    contents.Add(nth(n), kStart + seconds(n));
     EXPECT_LE(contents.size(), kCapacity);
     EXPECT_TRUE(contents.Contains(nth(n)));
+    EXPECT_EQ(contents.LastAdded(nth(n)), kStart + seconds(n));
     EXPECT_TRUE(n < 3 || contents.Contains(nth(n - 3)));
   }
   EXPECT_FALSE(contents.Contains(nth(0)));
+  EXPECT_FALSE(contents.LastAdded(nth(0)));
+}
+
+// Guards against a content that is refused for runs which were lost with the
+// links of this instance, although servers have answered it since.
+TEST(CrashQuarantine, IgnoresRunsThatEndedBeforeAnAnswer)
+{
+  auto quarantine = MakeQuarantine();
+  const auto answeredAt = kStart + seconds(2);
+  quarantine.OnAnswered(kContent, answeredAt);
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    const LostRun run{ n, kStart + seconds(0), kStart + milliseconds(n) };
+    quarantine.OnCut(kContent, run, answeredAt + milliseconds(n));
+    EXPECT_EQ(0U, quarantine.OnServerEnded(kContent, run, answeredAt));
+  }
+  quarantine.OnUnanswered(kContent, kStart + seconds(1), answeredAt);
+  EXPECT_EQ(ContentVerdict::Free, quarantine.VerdictOf(kContent, answeredAt));
+  EXPECT_EQ(0U, quarantine.size());
+  EXPECT_EQ(ContentVerdict::Free, Cut(quarantine, 5, 2001, 2002));
+  EXPECT_EQ(ContentVerdict::Suspect, Cut(quarantine, 6, 2003, 2004));
+}
+
+// Guards against an instance that goes on refusing a content which the others
+// serve, because nobody tells it of their answers.
+TEST(CrashQuarantine, TellsOfAnAnswerThatTheSenderOfANoticeLacks)
+{
+  auto cutOff = MakeQuarantine();
+  Cut(cutOff, 1, 0, 10);
+  Cut(cutOff, 2, 10, 20);
+  Cut(cutOff, 3, 20, 30);
+  const auto now = kStart + milliseconds(40);
+  auto other = MakeQuarantine("gw-1");
+  other.OnAnswered(kContent, now);
+  other.Merge(cutOff.RecentNotices(now), now);
+  EXPECT_EQ(ContentVerdict::Free, other.VerdictOf(kContent, now));
+  cutOff.Merge(other.RecentNotices(now), now);
+  EXPECT_EQ(ContentVerdict::Free, cutOff.VerdictOf(kContent, now));
+}
+
+// Guards against a connection to a restarted server that is taken for a sign
+// that its former run goes on.
+TEST(LiveServers, FollowsConnectionsThatOverlap)
+{
+  const auto at = [](int aSeconds) { return kStart + seconds(aSeconds); };
+  LiveServers servers(8);
+  EXPECT_FALSE(servers.HasRunThrough(1, at(0), at(1)));
+  servers.OnAnswered(1, at(0), at(2));
+  EXPECT_TRUE(servers.HasRunThrough(1, at(0), at(2)));
+  EXPECT_FALSE(servers.HasRunThrough(1, at(0), at(3)));
+  EXPECT_FALSE(servers.HasRunThrough(2, at(0), at(2)));
+  servers.OnAnswered(1, at(2), at(6));
+  EXPECT_TRUE(servers.HasRunThrough(1, at(0), at(6)));
+  servers.OnAnswered(1, at(7), at(9));
+  EXPECT_FALSE(servers.HasRunThrough(1, at(6), at(9)));
+  EXPECT_TRUE(servers.HasRunThrough(1, at(7), at(9)));
+}
+
+// Guards against memory that grows with each server.
+TEST(LiveServers, KeepsABoundedNumber)
+{
+  constexpr std::size_t kCapacity = 8;
+  LiveServers servers(kCapacity);
+  for (std::uint32_t n = 0; n < 100; ++n) {
+    servers.OnAnswered(n, kStart, kStart);
+    EXPECT_LE(servers.size(), kCapacity);
+    EXPECT_TRUE(servers.HasRunThrough(n, kStart, kStart));
+  }
+}
+
+// Guards against instances that believe a cut-off one that servers have ended
+// which answer them all the time.
+TEST(CrashQuarantine, IgnoresRunsWhoseServersHaveNotEnded)
+{
+  auto cutOff = MakeQuarantine();
+  for (int n = 1; n <= 3; ++n) {
+    Cut(cutOff, static_cast<std::uint32_t>(n), 100 * n, 100 * n + 50);
+  }
+  auto now = kStart + milliseconds(400);
+  const auto notices = cutOff.RecentNotices(now);
+  // It hears of the runs before it gets the answers, or after.
+  auto before = MakeQuarantine("gw-1");
+  auto after = MakeQuarantine("gw-2");
+  before.Merge(notices, now);
+  EXPECT_EQ(ContentVerdict::Quarantined, before.VerdictOf(kContent, now));
+  for (std::uint32_t n = 1; n <= 3; ++n) {
+    for (auto* it : { &before, &after }) {
+      it->OnServerAnswered(n, kStart, now, now);
+    }
+  }
+  after.Merge(notices, now);
+  EXPECT_EQ(ContentVerdict::Free, before.VerdictOf(kContent, now));
+  EXPECT_EQ(ContentVerdict::Free, after.VerdictOf(kContent, now));
+  // Connections that were opened after the run prove nothing.
+  auto late = MakeQuarantine("gw-3");
+  late.Merge(notices, now);
+  for (std::uint32_t n = 1; n <= 3; ++n) {
+    late.OnServerAnswered(n, now, now, now);
+  }
+  EXPECT_EQ(ContentVerdict::Quarantined, late.VerdictOf(kContent, now));
+}
+
+// Guards against evidence that counts for a content which does end servers: in
+// a busy fleet, whatever the instances and their links do, three ends one after
+// the other quarantine it, and lost links alone never do.
+RC_GTEST_PROP(CrashQuarantine, TellsLostLinksFromServersThatHaveEnded, ())
+{
+  constexpr std::uint32_t kServers = 6;
+  auto cutOff = MakeQuarantine();
+  auto other = MakeQuarantine("gw-1");
+  const auto crashes = *rc::gen::arbitrary<bool>();
+  const auto lostCount = *rc::gen::inRange(3U, kServers);
+  auto now = kStart;
+  for (std::uint32_t n = 0; n < kServers; ++n) {
+    other.OnServerAnswered(n, kStart, now, now);
+  }
+  std::vector<LostRun> runs;
+  for (std::uint32_t n = 0; n < lostCount; ++n) {
+    const auto sentAt = now + milliseconds(*rc::gen::inRange(0, 50));
+    now = sentAt + milliseconds(*rc::gen::inRange(1, 500));
+    runs.push_back({ n, sentAt, now });
+    cutOff.OnCut(kContent, runs.back(), now);
+  }
+  now += milliseconds(*rc::gen::inRange(1, 500));
+  auto notice = cutOff.NoticeOf(kContent, now);
+  RC_ASSERT(notice.has_value());
+  const bool isToldFirst = *rc::gen::arbitrary<bool>();
+  if (isToldFirst) {
+    other.Merge({ *notice }, now);
+  }
+  for (std::uint32_t n = 0; n < kServers; ++n) {
+    const bool hasEnded = crashes && n < lostCount;
+    // A server that has ended answers on new connections after its restart.
+    other.OnServerAnswered(n, hasEnded ? runs[n].endedAt : kStart, now, now);
+  }
+  if (!isToldFirst) {
+    other.Merge({ *notice }, now);
+  }
+  RC_ASSERT(other.VerdictOf(kContent, now) ==
+            (crashes ? ContentVerdict::Quarantined : ContentVerdict::Free));
+}
+
+// Guards against lost attempts of a query, of which an instance tells with the
+// request that it hands over, that count although the query was answered since.
+TEST(CrashQuarantine, TellsOfLostAttemptsWithAHandover)
+{
+  auto sender = MakeQuarantine();
+  const auto now = kStart + seconds(1);
+  EXPECT_FALSE(sender.NoticeOf(kContent, now));
+  sender.OnUnanswered(kContent, kStart, now);
+  const auto notice = sender.NoticeOf(kContent, now);
+  ASSERT_TRUE(notice);
+  const auto notices = DecodeCrashNotices(EncodeCrashNotices({ *notice }));
+  ASSERT_TRUE(notices);
+  auto helper = MakeQuarantine("gw-1");
+  helper.Merge(*notices, now);
+  EXPECT_EQ(ContentVerdict::Suspect, helper.VerdictOf(kContent, now));
+  auto answering = MakeQuarantine("gw-2");
+  answering.OnAnswered(kContent, kStart + milliseconds(10));
+  answering.Merge(*notices, now);
+  EXPECT_EQ(ContentVerdict::Free, answering.VerdictOf(kContent, now));
 }
 
 // Guards against contents of different requests that count as one.
--- a/tests/gateway/handover_test.cpp
+++ b/tests/gateway/handover_test.cpp
@@ -22,6 +22,9 @@
 constexpr const char* kLaterState =
   R"([["127.0.0.2","gw-1","fd-b",1,1,1E0,15,100,37,2147483649,"x",[7]]])";
 
+/// Hand-over and ids of requests, as 31a590e states them.
+constexpr PeerCapabilities kFormerCapabilities(3);
+
 PeerState MakePeer(unsigned aNumber, unsigned aReachPercent)
 {
   PeerState peer;
@@ -38,7 +41,10 @@
 /// An instance that reaches no server, and helpers that the handler stands for.
 struct CutOffGateway : TestGateway
 {
-  explicit CutOffGateway(RequestHandler aHelper, unsigned aHelperCount = 1)
+  explicit CutOffGateway(
+    RequestHandler aHelper,
+    unsigned aHelperCount = 1,
+    PeerCapabilities aCapabilities = PeerCapabilities::Own())
     : listener(process,
                { asio::ip::address_v4::loopback(), 0 },
                [this, helper = std::move(aHelper)](CallerRequest aRequest,
@@ -60,6 +66,7 @@
       auto peer = MakePeer(n, 100);
       // All helpers are the same listener.
       peer.address = asio::ip::address_v4::loopback();
+      peer.capabilities = aCapabilities;
       peers.push_back(peer);
     }
     self.address = asio::ip::address_v4(0x7f0000ffU);
@@ -72,6 +79,20 @@
   HttpListener listener;
 };
 
+/// The runs without proof that the notices name for a content.
+std::vector<CrashNotice::Run> UnprovenRunsOf(
+  const std::vector<CrashNotice>& aNotices,
+  const ContentId& aContent)
+{
+  std::vector<CrashNotice::Run> runs;
+  for (const auto& it : aNotices) {
+    if (it.content == aContent) {
+      runs.insert(runs.end(), it.unprovenRuns.begin(), it.unprovenRuns.end());
+    }
+  }
+  return runs;
+}
+
 CallerReply OkReply()
 {
   CallerReply reply;
@@ -336,19 +357,133 @@
 // as cut off for it, runs at the servers of all shards for each helper anew.
 TEST(Handover, TellsThatAContentIsSuspect)
 {
-  std::vector<bool> suspect;
+  for (const bool takesState : { false, true }) {
+    std::vector<bool> suspect;
+    CutOffGateway fixture(
+      [&](CallerRequest aRequest, const ReplyHandler& aReply) {
+        const auto handover = TakeHandover(aRequest.message);
+        EXPECT_FALSE(handover->isSuspect && takesState);
+        const bool isToldByState =
+          std::any_of(handover->notices.begin(),
+                      handover->notices.end(),
+                      [](const auto& aIt) { return aIt.unansweredAge; });
+        suspect.push_back(takesState ? isToldByState : handover->isSuspect);
+        aReply(suspect.size() < 3 ? TextReply(502, "broken") : OkReply());
+        return nullptr;
+      },
+      3,
+      takesState ? PeerCapabilities::Own() : kFormerCapabilities);
+    fixture.Publish({ TestGateway::SingleRoute(Repeatability::Idempotent) });
+    for (int n = 0; n < 4; ++n) {
+      static_cast<void>(fixture.Ask("/one/a"));
+    }
+    EXPECT_EQ(suspect, (std::vector<bool>{ false, true, true, false }));
+  }
+}
+
+// Guards against a content that an instance refuses because its links to the
+// servers were lost, while other instances could serve it, and against one that
+// has crashed servers and runs again for each helper.
+TEST(Handover, LetsTheHelperJudgeRunsThatWereLost)
+{
+  std::vector<CrashNotice> told;
   CutOffGateway fixture(
     [&](CallerRequest aRequest, const ReplyHandler& aReply) {
-      suspect.push_back(TakeHandover(aRequest.message)->isSuspect);
-      aReply(suspect.size() < 3 ? TextReply(502, "broken") : OkReply());
+      told = TakeHandover(aRequest.message)->notices;
+      aReply(OkReply());
+      return nullptr;
+    });
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::AtMostOnce) });
+  const auto content = ContentIdOf(TestGateway::Request("/one/a").message);
+  auto& quarantine = fixture.process.crashQuarantine;
+  const auto now = std::chrono::steady_clock::now();
+  const auto run = [&](std::uint32_t aServer) {
+    const auto sentAt = now - milliseconds(100 - 10 * aServer);
+    return LostRun{ aServer, sentAt, sentAt + milliseconds(5) };
+  };
+  for (std::uint32_t n = 1; n <= 3; ++n) {
+    quarantine.OnCut(content, run(n), now);
+  }
+  ASSERT_EQ(ContentVerdict::Quarantined, quarantine.VerdictOf(content, now));
+  EXPECT_EQ(fixture.Ask("/one/a").status, 200U);
+  EXPECT_EQ(UnprovenRunsOf(told, content).size(), 3U);
+  EXPECT_EQ(ContentVerdict::Free,
+            quarantine.VerdictOf(content, std::chrono::steady_clock::now()));
+  const auto other = ContentIdOf(TestGateway::Request("/one/b").message);
+  for (std::uint32_t n = 1; n <= 3; ++n) {
+    quarantine.OnServerEnded(other, run(n), now);
+  }
+  EXPECT_EQ(fixture.Ask("/one/b").status, 503U);
+  EXPECT_EQ(fixture.handedOver, 1U);
+}
+
+// Guards against a content that crashes servers and that helpers of a former
+// version run, since they can't be told of the runs that were lost.
+TEST(Handover, RefusesAQuarantinedContentBesideFormerHelpers)
+{
+  CutOffGateway fixture(
+    [](auto&&, const ReplyHandler& aReply) {
+      aReply(OkReply());
       return nullptr;
     },
-    3);
-  fixture.Publish({ TestGateway::SingleRoute(Repeatability::Idempotent) });
-  for (int n = 0; n < 4; ++n) {
-    static_cast<void>(fixture.Ask("/one/a"));
+    1,
+    kFormerCapabilities);
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::AtMostOnce) });
+  const auto content = ContentIdOf(TestGateway::Request("/one/a").message);
+  const auto now = std::chrono::steady_clock::now();
+  for (std::uint32_t n = 1; n <= 3; ++n) {
+    const auto sentAt = now - milliseconds(100 - 10 * n);
+    fixture.process.crashQuarantine.OnCut(
+      content, { n, sentAt, sentAt + milliseconds(5) }, now);
   }
-  EXPECT_EQ(suspect, (std::vector<bool>{ false, true, true, false }));
+  EXPECT_EQ(fixture.Ask("/one/a").status, 503U);
+  EXPECT_EQ(fixture.handedOver, 0U);
+}
+
+// Guards against a content that is suspect because the link to a helper broke.
+TEST(Handover, BlamesNoContentForALostHelper)
+{
+  TestGateway fixture;
+  ScriptedServer helper(fixture.process.context, [&](auto&) {
+    return Reaction{ "", {}, false, true };
+  });
+  fixture.process.settings.gossipEndpoint.port(helper.Address().port());
+  fixture.process.peers.Self() = MakePeer(9, 0);
+  std::vector<PeerState> peers{ MakePeer(1, 100) };
+  peers.front().address = asio::ip::address_v4::loopback();
+  fixture.gateway.Peers().Update(peers);
+  fixture.gateway.UpdateReach(peers, kStart);
+  fixture.gateway.UpdateReach(peers, kStart + seconds(1));
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::AtMostOnce) });
+  EXPECT_EQ(fixture.Ask("/one/a").status, 502U);
+  EXPECT_EQ(0U, fixture.process.crashQuarantine.size());
+}
+
+// Guards against marks of former versions and of this one that aren't read, and
+// against half of a malformed mark that is applied.
+TEST(Handover, ReadsMarksWithAndWithoutNotices)
+{
+  const auto decode = [](const std::string& aValue) {
+    RequestMessage message;
+    message.set("X-Bronzedeal-Handover", aValue);
+    return TakeHandover(message);
+  };
+  EXPECT_TRUE(decode("12 3"));
+  EXPECT_TRUE(decode("12 3 suspect")->isSuspect);
+  Handover handover;
+  handover.elapsed = std::chrono::microseconds(12);
+  handover.notices.emplace_back();
+  handover.notices.back().unprovenRuns.push_back({ 7, {}, {} });
+  const auto line = EncodeHandover(handover);
+  const auto decoded = decode(line.substr(23, line.size() - 25));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->elapsed, handover.elapsed);
+  const auto runs = UnprovenRunsOf(decoded->notices, ContentId{});
+  ASSERT_EQ(runs.size(), 1U);
+  EXPECT_EQ(runs.front().server, 7U);
+  EXPECT_FALSE(decode("12 3 {"));
+  EXPECT_FALSE(decode("12 3 {\"crashes\":[1]}"));
+  EXPECT_FALSE(decode("12 {\"crashes\":[]}"));
 }
 
 // Guards against a Retry-After that is lost between instances.
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -476,8 +476,13 @@
         """New connections are refused; open ones live on."""
         if not self.refusing:
             self.refusing = True
-            # The socket stays bound, so that nobody else gets the port.
             self.socket.shutdown(socket.SHUT_RDWR)
+            self.socket.close()
+            # A listener that was shut down gives back a port that the system
+            # chose. The new socket stays bound, so that nobody else gets it.
+            self.socket = socket.socket()
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.socket.bind(("127.0.0.1", self.port))
 
     def accept_again(self):
         for it in self.hanging:
