The servers of a request are counted together at all instances

Cause: the number of servers was kept by each exchange. A trial and the hand-over that follows it each began at zero. The trials didn't end: servers that need longer than half of the objective and 100 ms never answered one, and an answer counted for other servers only if its own one had been silent.

A trial asks one server, of a query one shard; its answer is awaited until the deadline also after the hand-over. While cut off, the answer of any server that hadn't answered of late ends what was believed of the others.

Ruled out: hedges that don't count (each exchange kept its number); parts of queries, which name no more servers than the route allows.

Why this works: whoever serves the request next begins with the servers that may have run it, so that only those that are left, or the same ones, are asked; and one answer, however late, ends the trials.

--- a/include/bronzedeal/bronzedeal.hpp
+++ b/include/bronzedeal/bronzedeal.hpp
@@ -87,6 +87,7 @@
 #include "bronzedeal/gateway/shard_set.hpp"
 #include "bronzedeal/gateway/stop_schedule.hpp"
 #include "bronzedeal/gateway/timer_queue.hpp"
+#include "bronzedeal/gateway/used_servers.hpp"
 #include "bronzedeal/http_framing.hpp"
 #include "bronzedeal/json_fields.hpp"
 #include "bronzedeal/process/audit_trail.hpp"
--- a/include/bronzedeal/fwd.hpp
+++ b/include/bronzedeal/fwd.hpp
@@ -123,6 +123,7 @@
 class ShardSet;
 class StopSchedule;
 class TimerQueue;
+class UsedServers;
 struct Process;
 struct Route;
 struct ServerRecord;
--- a/include/bronzedeal/gateway/exchange.hpp
+++ b/include/bronzedeal/gateway/exchange.hpp
@@ -5,6 +5,7 @@
 #include "bronzedeal/gateway/peer_pool.hpp"
 #include "bronzedeal/gateway/process.hpp"
 #include "bronzedeal/gateway/server_registry.hpp"
+#include "bronzedeal/gateway/used_servers.hpp"
 
 #include <functional>
 #include <memory>
@@ -35,6 +36,13 @@
   /// Call when the caller has disconnected. Sends no reply; requests still
   /// running at servers are aborted after a short grace time.
   virtual void Cancel() = 0;
+
+  /// Ends the exchange without a reply, so that another instance can serve the
+  /// request. Returns false and changes nothing if a server has answered, or if
+  /// the exchange doesn't send to servers itself. Attempts in progress go on
+  /// until the deadline, or until `Cancel` is called: late answers show that
+  /// servers can be reached.
+  [[nodiscard]] virtual bool TryRelease() { return false; }
 };
 
 /// Number of shards that an answer on a fan-out route must include; at least 1.
@@ -74,6 +82,12 @@
   /// Time of the final answer at the latest: the route's timeout, or the
   /// caller's own deadline if that is earlier.
   TimePoint deadline{};
+  /// Set if the request was handed over, or may be. Servers that are there
+  /// before an exchange begins count as its own.
+  std::shared_ptr<UsedServers> usedServers;
+  /// The request is sent to one server only, to learn whether servers answer;
+  /// a query goes on once one has.
+  bool isTrial = false;
 };
 
 /// Whether and how a request may be sent, as its content has crashed servers
@@ -106,6 +120,16 @@
 [[nodiscard]] TimePoint LateResponseDeadline(const RoutedRequest& aRequest,
                                              TimePoint aNow) noexcept;
 
+/// The same for the attempts of a request that another instance serves now.
+[[nodiscard]] TimePoint ReleasedAttemptDeadline(
+  const RoutedRequest& aRequest) noexcept;
+
+/// True for statuses that tell a caller that the request has not run.
+[[nodiscard]] constexpr bool ImpliesNotRun(unsigned aStatus) noexcept
+{
+  return aStatus == 408 || aStatus == 429 || aStatus == 503;
+}
+
 /// Why a request ends while attempts are in progress.
 enum class UnansweredEnd
 {
--- a/include/bronzedeal/gateway/gateway.hpp
+++ b/include/bronzedeal/gateway/gateway.hpp
@@ -37,7 +37,8 @@
   /// over to this one.
   std::shared_ptr<Exchange> Handle(CallerRequest aRequest,
                                    ReplyHandler aReply,
-                                   bool aWasHandedOver = false);
+                                   bool aWasHandedOver = false,
+                                   UsedServers aUsedServers = {});
 
   /// Starts the part of another instance's query that this instance was asked
   /// for.
@@ -72,6 +73,9 @@
   /// The group of the next request by the weights of the route's targets;
   /// updates their credits.
   [[nodiscard]] const std::string& PickGroup(const Route& aRoute);
+  /// The group to which the request was sent before; picks one if there is
+  /// none.
+  [[nodiscard]] const std::string& GroupOf(const RoutedRequest& aRequest);
 
   Process& mProcess;
   ServerRegistry& mServers;
--- a/include/bronzedeal/gateway/handover.hpp
+++ b/include/bronzedeal/gateway/handover.hpp
@@ -23,10 +23,14 @@
   bool isSuspect = false;
   /// What the instance that hands over knows against the content.
   std::vector<CrashNotice> notices;
+  /// Servers that may have run the request there. They count against the
+  /// maximum of its route.
+  UsedServers usedServers;
 };
 
-/// Returns the header line that marks a request as handed over. With `notices`,
-/// only instances with `PeerCapability::TakesHandoverState` understand it.
+/// Returns the header line that marks a request as handed over. With `notices`
+/// or `usedServers`, only instances with `PeerCapability::TakesHandoverState`
+/// understand it.
 [[nodiscard]] std::string EncodeHandover(const Handover& aHandover);
 
 /// Parses and removes the mark of a request; nothing if it has none or a
@@ -54,9 +58,10 @@
 using ServeHandler =
   std::function<std::shared_ptr<Exchange>(RoutedRequest, ReplyHandler)>;
 
-/// Serves a request by `aServe` for a fraction of its objective, and hands it
-/// over if that brings no success. Shows whether the servers of an instance
-/// that is cut off answer again. Only for idempotent requests.
+/// Sends a request to one server by `aServe`, and hands it over if no server
+/// has answered within a fraction of its objective. The server's answer is
+/// awaited all the same: it shows that servers can be reached again. Only for
+/// idempotent requests, and for helpers that take their state.
 std::shared_ptr<Exchange> StartTrialExchange(const ExchangeContext& aContext,
                                              RoutedRequest aRequest,
                                              HelperSet aHelpers,
--- a/include/bronzedeal/gateway/link_evidence.hpp
+++ b/include/bronzedeal/gateway/link_evidence.hpp
@@ -39,6 +39,10 @@
   /// Number of the present epoch; a new one begins when links may work again.
   [[nodiscard]] std::uint64_t Epoch() const noexcept { return mEpoch; }
 
+  /// Others reach far more servers than this instance.
+  void SetBehindOthers(bool aIsBehind) noexcept { mIsBehindOthers = aIsBehind; }
+  [[nodiscard]] bool IsBehindOthers() const noexcept { return mIsBehindOthers; }
+
   /// Keep the numbers of known servers and of those that can't be reached.
   void OnServerAdded() noexcept { ++mServerCount; }
   void OnServerRemoved() noexcept { --mServerCount; }
@@ -66,6 +70,7 @@
 
   std::vector<Request> mRequests;
   std::uint64_t mEpoch = 0;
+  bool mIsBehindOthers = false;
   std::size_t mServerCount = 0;
   std::size_t mUnreachableCount = 0;
 };
--- a/include/bronzedeal/gateway/peer_capability.hpp
+++ b/include/bronzedeal/gateway/peer_capability.hpp
@@ -13,7 +13,8 @@
   Handover,
   /// States the id of the request in its answers to other instances.
   StatesRequestId,
-  /// Takes what is known of a request's content along with its hand-over.
+  /// Takes the state of a request along with it when it is handed over: what is
+  /// known of its content, and the servers that may have run it.
   TakesHandoverState,
 };
 
--- a/include/bronzedeal/gateway/query_caution.hpp
+++ b/include/bronzedeal/gateway/query_caution.hpp
@@ -34,6 +34,9 @@
                                bool aHasTrial,
                                bool aIsRunning) noexcept;
 
+  /// Begins with one attempt at a time, whatever the verdict.
+  void BeginOneAtATime() noexcept { mIsOneAtATime = !mIsAnswered; }
+
   /// True while only one attempt may be in progress.
   [[nodiscard]] bool IsOneAtATime() const noexcept { return mIsOneAtATime; }
 
--- a/include/bronzedeal/gateway/shard_set.hpp
+++ b/include/bronzedeal/gateway/shard_set.hpp
@@ -30,6 +30,9 @@
   std::vector<ShardAttempt> attempts;
   /// Servers that may have run the request.
   ServerList possiblyRunBy;
+  /// Number of servers unknown here that may have run the request at the
+  /// instance which handed it over.
+  std::size_t unknownServerCount = 0;
   /// Servers that the next attempt does not use.
   ServerList excludedServers;
   /// The only servers that may be used; any server of the group when empty.
@@ -58,6 +61,12 @@
   std::string body;
   std::string signature;
 
+  /// Number of servers that may have run the request or may be running it.
+  [[nodiscard]] std::size_t UsedServerCount() const noexcept
+  {
+    return possiblyRunBy.size() + unknownServerCount + attempts.size();
+  }
+
   /// Records that the server may have run the request.
   void AddPossiblyRunBy(const BackendServer* aServer);
 
--- a/src/gateway/backend_server_evidence.cpp
+++ b/src/gateway/backend_server_evidence.cpp
@@ -93,8 +93,13 @@
     return;
   }
   mProcess.linkEvidence.OnWorked(aAttempt.sentAt, aNow);
-  if (formerState == gateway::AnswerState::NotAnswering) {
-    mProcess.linkEvidence.OnAnsweringAgain();
+  // A server that wasn't tried while the others were silent shows as much as
+  // one of these.
+  auto& evidence = mProcess.linkEvidence;
+  if (formerState == gateway::AnswerState::NotAnswering ||
+      (formerState == gateway::AnswerState::Unknown &&
+       evidence.IsBehindOthers())) {
+    evidence.OnAnsweringAgain();
   }
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -131,4 +131,9 @@
                   aNow + kMaxUnneededRunTime);
 }
 
+TimePoint ReleasedAttemptDeadline(const RoutedRequest& aRequest) noexcept
+{
+  return aRequest.deadline + kLateResponseWindow;
+}
+
 } // namespace bronzedeal::gateway
--- a/src/gateway/fanout_batches.cpp
+++ b/src/gateway/fanout_batches.cpp
@@ -29,7 +29,7 @@
                                                 mRequest.route->maxAttempts);
   for (std::size_t n = 0; n < mShards.size(); ++n) {
     auto& shard = mShards[n];
-    if (shard.skipped) {
+    if (shard.skipped || shard.reachedServer) {
       continue;
     }
     auto bestServers = mContext.servers.BestServers(
@@ -124,6 +124,7 @@
     PartialShard partialShard{ shard.group->name, {} };
     for (const auto& server : it.servers) {
       partialShard.servers.push_back(server->Record().id);
+      AddUsedServer(shard, *server);
     }
     query.shards.push_back(std::move(partialShard));
     shard.wasBatched = true;
@@ -188,6 +189,11 @@
     auto& shard = mShards[it.shard];
     const bool mayHaveReachedServer =
       isValidAnswer ? !shard.skippedByPeer : aResult != AttemptResult::NotRun;
+    if (!mayHaveReachedServer) {
+      for (const auto& server : it.servers) {
+        RemoveUsedServer(shard, *server);
+      }
+    }
     shard.reachedServer = shard.reachedServer || mayHaveReachedServer;
     shard.mayHaveRunAtPeer = shard.mayHaveRunAtPeer || mayHaveReachedServer;
     if (mayHaveReachedServer && batch.isHedge) {
--- a/src/gateway/fanout_exchange.cpp
+++ b/src/gateway/fanout_exchange.cpp
@@ -54,7 +54,25 @@
   const auto& shards = mRequest.route->shards;
   mRequiredShards = RequiredShardCount(*mRequest.route);
   for (const auto& it : shards) {
-    mShards.Add(ShardState{ .group = &mContext.servers.FindOrCreateGroup(it) });
+    ShardState shard{ .group = &mContext.servers.FindOrCreateGroup(it) };
+    AddFormerServers(shard);
+    mShards.Add(std::move(shard));
+  }
+}
+
+void FanoutExchange::AddFormerServers(ShardState& aShard)
+{
+  if (!mRequest.usedServers) {
+    return;
+  }
+  for (const auto& id : mRequest.usedServers->Of(aShard.group->name)) {
+    aShard.reachedServer = true;
+    if (const auto server = mContext.servers.Find(id)) {
+      aShard.AddPossiblyRunBy(server.get());
+      aShard.excludedServers.push_back(server.get());
+    } else {
+      ++aShard.unknownServerCount;
+    }
   }
 }
 
@@ -99,6 +117,9 @@
   }
   std::ignore =
     mCaution.OnVerdict(mPermit.verdict, mPermit.trial != nullptr, false);
+  if (mRequest.isTrial) {
+    mCaution.BeginOneAtATime();
+  }
   if (CountReachableShards(now) < mRequiredShards) {
     const auto wait = TimeUntilEnoughShards(now);
     if (wait && now + wait->first < mLatestStart) {
@@ -127,7 +148,7 @@
   for (std::size_t n = 0; n < mShards.size(); ++n) {
     if (mShards[n].attempts.empty() && !mShards[n].answered &&
         !mShards[n].skipped) {
-      if (!mIsHedge) {
+      if (!mIsHedge && !mShards[n].reachedServer) {
         mShards[n].group->retryBudget.OnFirstAttempt(
           Process().settings.retryLimits, Process().fleetShares.Divisor(), now);
       }
@@ -152,9 +173,15 @@
 
 void FanoutExchange::Cancel()
 {
+  const auto now = steady_clock::now();
+  if (!mReleased.empty()) {
+    for (const auto& it : std::exchange(mReleased, {})) {
+      it.server->Detach(it.attempt, LateResponseDeadline(mRequest, now));
+    }
+    return;
+  }
   mReply = nullptr;
   Process().metrics.Add(process::Counter::CallersLeft);
-  const auto now = steady_clock::now();
   RecordLostRuns(UnansweredEnd::CallerLeft, now);
   // The gathering instance grants its attempts the time to finish, so its
   // connection closes at once: the time counts once for all hops.
@@ -162,6 +189,42 @@
   Stop(now);
 }
 
+bool FanoutExchange::TryRelease()
+{
+  if (!mReply || mIsPartial || mCaution.IsAnswered() || !mBatches.empty()) {
+    return false;
+  }
+  mReply = nullptr;
+  for (auto& shard : mShards) {
+    for (auto& it : std::exchange(shard.attempts, {})) {
+      it.server->Detach(it.attempt, ReleasedAttemptDeadline(mRequest));
+      if (it.attempt->sent) {
+        mReleased.push_back(std::move(it));
+      } else {
+        RemoveUsedServer(shard, *it.server);
+      }
+    }
+  }
+  Stop(steady_clock::now());
+  return true;
+}
+
+void FanoutExchange::AddUsedServer(const ShardState& aShard,
+                                   const BackendServer& aServer)
+{
+  if (mRequest.usedServers) {
+    mRequest.usedServers->Add(aShard.group->name, aServer.Record().id);
+  }
+}
+
+void FanoutExchange::RemoveUsedServer(const ShardState& aShard,
+                                      const BackendServer& aServer)
+{
+  if (mRequest.usedServers) {
+    mRequest.usedServers->Remove(aShard.group->name, aServer.Record().id);
+  }
+}
+
 std::size_t FanoutExchange::CountReachableShards(TimePoint aNow)
 {
   return static_cast<std::size_t>(
@@ -212,8 +275,7 @@
 {
   // Once the route's maximum number of servers is reached, only the servers
   // that may have run the request are used again.
-  if (aShard.possiblyRunBy.size() + aShard.attempts.size() >=
-      mRequest.route->maxAttempts) {
+  if (aShard.UsedServerCount() >= mRequest.route->maxAttempts) {
     return aShard.attempts.empty() ? ChooseAmongPossiblyRunBy(aShard, aNow)
                                    : nullptr;
   }
@@ -276,6 +338,7 @@
   const auto attemptId = ++mLastAttemptId;
   mCaution.OnSent(attemptId);
   shard.excludedServers.push_back(aServer.get());
+  AddUsedServer(shard, *aServer);
   shard.attempts.push_back(ShardAttempt{ aServer, nullptr, attemptId });
   auto attempt = aServer->Send(
     mServerRequest,
@@ -308,6 +371,8 @@
   shard.attempts.erase(it);
   if (aResult != AttemptResult::NotRun) {
     shard.AddPossiblyRunBy(running.server.get());
+  } else {
+    RemoveUsedServer(shard, *running.server);
   }
   if (aResult != AttemptResult::NotRun || aFault == AttemptFault::Refused ||
       aFault == AttemptFault::OtherServer) {
--- a/src/gateway/fanout_exchange.hpp
+++ b/src/gateway/fanout_exchange.hpp
@@ -43,6 +43,8 @@
 
   void Cancel() override;
 
+  [[nodiscard]] bool TryRelease() override;
+
 private:
   /// One shard of a partial query (by its index in `mShards`) and the servers
   /// that it may be sent to.
@@ -67,6 +69,14 @@
 
   gateway::Process& Process() { return mContext.process; }
 
+  /// Counts the shard's servers that may have run the request at the instance
+  /// that handed it over.
+  void AddFormerServers(ShardState& aShard);
+
+  /// Keep `RoutedRequest::usedServers`.
+  void AddUsedServer(const ShardState& aShard, const BackendServer& aServer);
+  void RemoveUsedServer(const ShardState& aShard, const BackendServer& aServer);
+
   /// Number of shards with a usable server.
   std::size_t CountReachableShards(TimePoint aNow);
 
@@ -282,6 +292,8 @@
   unsigned mDeniedRetries = 0;
   ContentPermit mPermit;
   QueryCaution mCaution;
+  /// Attempts that go on after `TryRelease`.
+  std::vector<ShardAttempt> mReleased;
   std::vector<LostRun> mLostRuns;
   /// When servers last broke off attempts.
   TimePoint mLastCutAt{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -131,12 +131,25 @@
   return best->group;
 }
 
+const std::string& Gateway::GroupOf(const RoutedRequest& aRequest)
+{
+  if (aRequest.usedServers) {
+    for (const auto& it : aRequest.route->targets) {
+      if (!aRequest.usedServers->Of(it.group).empty()) {
+        return it.group;
+      }
+    }
+  }
+  return PickGroup(*aRequest.route);
+}
+
 void Gateway::UpdateReach(const std::vector<PeerState>& aAlive, TimePoint aNow)
 {
   const auto& self = mProcess.peers.Self();
   const bool wasCutOff = mReach.IsCutOff();
   const auto formerCount = mReach.Helpers().size();
   mReach.Update(self, aAlive, aNow);
+  mProcess.linkEvidence.SetBehindOthers(mReach.IsCutOff());
   if (mReach.IsCutOff() != wasCutOff ||
       mReach.Helpers().empty() != (formerCount == 0)) {
     mProcess.log.Write(
@@ -164,7 +177,8 @@
 
 std::shared_ptr<Exchange> Gateway::Handle(CallerRequest aRequest,
                                           ReplyHandler aReply,
-                                          bool aWasHandedOver)
+                                          bool aWasHandedOver,
+                                          UsedServers aUsedServers)
 {
   if (!mActiveTable) {
     aReply(RefusedReply("no configuration yet", kUnconfiguredRetryDelay));
@@ -195,6 +209,10 @@
   request.caller = std::move(aRequest);
   request.route = std::shared_ptr<const Route>(mActiveTable, route);
   request.version = mActiveTable->Version();
+  if (!aUsedServers.IsEmpty()) {
+    request.usedServers =
+      std::make_shared<UsedServers>(std::move(aUsedServers));
+  }
   const ExchangeContext context{ mProcess, mServers, mLatency, mPeers };
   const auto now = std::chrono::steady_clock::now();
   const bool canServe = CanServe(*route, now);
@@ -211,7 +229,8 @@
     if (verdict == ContentVerdict::Quarantined && !mayHelperDecide) {
       return Serve(std::move(request), std::move(aReply)); // It is refused.
     }
-    if (verdict == ContentVerdict::Free && canServe &&
+    // A helper that doesn't know of the trial's server would use too many.
+    if (verdict == ContentVerdict::Free && canServe && helpers.takeState &&
         IsTrialDue(*route, now)) {
       return StartTrialExchange(
         context,
@@ -257,8 +276,9 @@
     aReply(TextReply(404, "the route has no target"));
     return nullptr;
   }
+  const auto& group = GroupOf(aRequest);
   return StartSingleExchange(
-    context, std::move(aRequest), PickGroup(route), std::move(aReply));
+    context, std::move(aRequest), group, std::move(aReply));
 }
 
 std::shared_ptr<Exchange> Gateway::HandlePartialQuery(CallerRequest aRequest,
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -181,7 +181,8 @@
           MarkHandoverReply(aAnswer);
           reply(std::move(aAnswer));
         },
-        true);
+        true,
+        handover->usedServers);
     }
     return gateway.HandlePartialQuery(std::move(aRequest), std::move(reply));
   }
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -1,11 +1,16 @@
 #include "bronzedeal/gateway/handover.hpp"
 
 #include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <charconv>
 #include <fmt/format.h>
 
 namespace bronzedeal::gateway {
 
+namespace json = boost::json;
 using std::chrono::microseconds;
 using std::chrono::steady_clock;
 
@@ -17,6 +22,9 @@
 constexpr std::string_view kSuspectMark = " suspect";
 /// The state that goes along with a request, a JSON object behind the times.
 constexpr std::string_view kStateBegin = " {";
+/// Key of the used servers in the state, beside the lists of crash notices: an
+/// object with a list of ids for each group.
+constexpr std::string_view kServersKey = "servers";
 /// The helper answers this long before the instance that handed over.
 constexpr auto kHopMargin = milliseconds(10);
 /// The way to the helper and back, which the caller waits for as well.
@@ -28,6 +36,66 @@
 /// Bound of the times that a peer states.
 constexpr std::int64_t kMaxMicroseconds = std::int64_t{ 3600 } * 1'000'000;
 
+json::object EncodeUsedServers(const UsedServers& aServers)
+{
+  json::object groups;
+  for (const auto& group : aServers.Groups()) {
+    json::array ids;
+    for (const auto& id : aServers.Of(group)) {
+      ids.emplace_back(id);
+    }
+    groups[group] = std::move(ids);
+  }
+  return groups;
+}
+
+/// Adds the servers of a state; returns false if they are malformed.
+bool DecodeUsedServers(const json::object& aState, UsedServers& aServers)
+{
+  const auto* groups = aState.if_contains(kServersKey);
+  if (groups == nullptr) {
+    return true;
+  }
+  if (!groups->is_object()) {
+    return false;
+  }
+  for (const auto& [group, ids] : groups->get_object()) {
+    if (!ids.is_array()) {
+      return false;
+    }
+    for (const auto& it : ids.get_array()) {
+      if (!it.is_string()) {
+        return false;
+      }
+      aServers.Add(std::string(group), std::string(it.get_string()));
+    }
+  }
+  return true;
+}
+
+std::string EncodeState(const Handover& aHandover)
+{
+  auto text = EncodeCrashNotices(aHandover.notices);
+  if (aHandover.usedServers.IsEmpty()) {
+    return text;
+  }
+  auto state = json::parse(text);
+  state.get_object()[kServersKey] = EncodeUsedServers(aHandover.usedServers);
+  return json::serialize(state);
+}
+
+/// Returns false if the state is malformed.
+bool DecodeState(std::string_view aText, Handover& aHandover)
+{
+  auto notices = DecodeCrashNotices(aText);
+  if (!notices) {
+    return false;
+  }
+  aHandover.notices = std::move(*notices);
+  const auto state = json::parse(aText); // It has been parsed already.
+  return DecodeUsedServers(state.get_object(), aHandover.usedServers);
+}
+
 class HandoverExchange
   : public Exchange
   , public std::enable_shared_from_this<HandoverExchange>
@@ -58,6 +126,9 @@
     } else if (auto notice = quarantine.NoticeOf(mContent, now)) {
       handover.notices.push_back(std::move(*notice));
     }
+    if (mHelpers.takeState && mRequest.usedServers) {
+      handover.usedServers = *mRequest.usedServers;
+    }
     mServerRequest->head.insert(mServerRequest->head.find("\r\n") + 2,
                                 EncodeHandover(handover));
   }
@@ -181,6 +252,12 @@
 
   void Finish(CallerReply aReply)
   {
+    if (mRequest.usedServers && !mRequest.usedServers->IsEmpty() &&
+        ImpliesNotRun(aReply.status)) {
+      // The helper hasn't run the request, but a server of this instance may
+      // have.
+      aReply = TextReply(502, "no instance could take the request again");
+    }
     auto reply = std::exchange(mReply, nullptr);
     const auto now = steady_clock::now();
     const auto elapsed = now - mRequest.caller.receivedAt;
@@ -242,8 +319,8 @@
 std::string EncodeHandover(const Handover& aHandover)
 {
   std::string further(aHandover.isSuspect ? kSuspectMark : "");
-  if (!aHandover.notices.empty()) {
-    further = ' ' + EncodeCrashNotices(aHandover.notices);
+  if (!aHandover.notices.empty() || !aHandover.usedServers.IsEmpty()) {
+    further = ' ' + EncodeState(aHandover);
   }
   return fmt::format("{}: {} {}{}\r\n",
                      kHandoverHeader,
@@ -258,11 +335,9 @@
   aRequest.erase(kHandoverHeader);
   Handover handover;
   if (const auto state = text.find(kStateBegin); state != std::string::npos) {
-    auto notices = DecodeCrashNotices(std::string_view(text).substr(state + 1));
-    if (!notices) {
+    if (!DecodeState(std::string_view(text).substr(state + 1), handover)) {
       return std::nullopt;
     }
-    handover.notices = std::move(*notices);
     text.resize(state);
   } else if (text.ends_with(kSuspectMark)) {
     handover.isSuspect = true;
--- a/src/gateway/single_exchange.cpp
+++ b/src/gateway/single_exchange.cpp
@@ -39,7 +39,9 @@
     , mGroup(aContext.servers.FindOrCreateGroup(aGroup))
     , mReply(std::move(aReply))
     , mServerRequest(MakeServerRequest(mContext, mRequest))
+    , mMaxServers(mRequest.isTrial ? 1 : mRequest.route->maxAttempts)
   {
+    AddFormerServers();
   }
 
   void Start()
@@ -58,9 +60,11 @@
     mDeadlineTimer = Process().timers.Schedule(
       mRequest.deadline - kAnswerMargin,
       [self = shared_from_this()] { self->OnDeadline(); });
-    mGroup.retryBudget.OnFirstAttempt(Process().settings.retryLimits,
-                                      Process().fleetShares.Divisor(),
-                                      steady_clock::now());
+    if (mFormerServerCount == 0) {
+      mGroup.retryBudget.OnFirstAttempt(Process().settings.retryLimits,
+                                        Process().fleetShares.Divisor(),
+                                        steady_clock::now());
+    }
     SendOrFinish();
   }
 
@@ -68,12 +72,38 @@
 
   void Cancel() override
   {
+    if (!mReleased.empty()) {
+      const auto until = LateResponseDeadline(mRequest, steady_clock::now());
+      for (const auto& it : std::exchange(mReleased, {})) {
+        it.server->Detach(it.attempt, until);
+      }
+      return;
+    }
     mReply = nullptr;
     Process().metrics.Add(process::Counter::CallersLeft);
     RecordCuts(UnansweredEnd::CallerLeft);
     Stop();
   }
 
+  bool TryRelease() override
+  {
+    if (!mReply || mServerFailure) {
+      return false;
+    }
+    mReply = nullptr;
+    for (auto& [attemptId, running] : std::exchange(mAttempts, {})) {
+      running.server->Detach(running.attempt,
+                             ReleasedAttemptDeadline(mRequest));
+      if (running.attempt->sent) {
+        mReleased.push_back(std::move(running));
+      } else {
+        RemoveUsedServer(*running.server);
+      }
+    }
+    Stop();
+    return true;
+  }
+
 private:
   struct RunningAttempt
   {
@@ -88,6 +118,30 @@
     return mRequest.route->repeatability == Repeatability::Idempotent;
   }
 
+  /// Counts the servers that may have run the request at the instance that
+  /// handed it over.
+  void AddFormerServers()
+  {
+    if (!mRequest.usedServers) {
+      return;
+    }
+    mFormerServerCount = static_cast<unsigned>(mRequest.usedServers->size());
+    mMayHaveRunCount = mFormerServerCount;
+    for (const auto& id : mRequest.usedServers->Of(mGroup.name)) {
+      if (const auto server = mContext.servers.Find(id)) {
+        mTriedServers.push_back(server.get());
+        mPossiblyRunBy.push_back(server.get());
+      }
+    }
+  }
+
+  void RemoveUsedServer(const BackendServer& aServer)
+  {
+    if (mRequest.usedServers) {
+      mRequest.usedServers->Remove(mGroup.name, aServer.Record().id);
+    }
+  }
+
   /// Sends the request to one more server if the route, the retry budget and
   /// the servers allow it; returns whether it did.
   bool TrySend()
@@ -97,15 +151,15 @@
     // Once the route's maximum number of servers is reached, an error response
     // is final; after broken connections the same servers may be retried.
     // An at-most-once request is not sent again once it may have run.
-    const bool serverLimitReached =
-      mMayHaveRunCount >= mRequest.route->maxAttempts;
+    const bool serverLimitReached = mMayHaveRunCount >= mMaxServers;
     if (mSendCount >= kMaxSendsPerRequest ||
         (serverLimitReached && mServerFailure) ||
         (mMayHaveRunCount > 0 && !IsIdempotent())) {
       mAttemptsExhausted = true;
       return false;
     }
-    if (serverLimitReached && !mAttempts.empty()) {
+    if (serverLimitReached && (mRequest.isTrial || !mAttempts.empty())) {
+      mAttemptsExhausted = mAttempts.empty();
       return false;
     }
     const auto verdict = VerdictOf(Process(), *mServerRequest, now);
@@ -159,6 +213,9 @@
   {
     ++mSendCount;
     mTriedServers.push_back(aServer.get());
+    if (mRequest.usedServers) {
+      mRequest.usedServers->Add(mGroup.name, aServer->Record().id);
+    }
     // Count before the send, because the result may arrive during the call.
     ++mMayHaveRunCount;
     ++mReachedServerCount;
@@ -215,6 +272,7 @@
         OnAnswer(running.mapped(), *aResponse);
         return;
       case AttemptResult::NotRun:
+        RemoveUsedServer(*server);
         --mMayHaveRunCount;
         if (aFault != AttemptFault::Refused &&
             aFault != AttemptFault::OtherServer) {
@@ -270,12 +328,6 @@
     Finish(ForwardedReply(aResponse), "answered");
   }
 
-  /// True for statuses that tell a caller that the request has not run.
-  [[nodiscard]] static bool ImpliesNotRun(unsigned aStatus)
-  {
-    return aStatus == 408 || aStatus == 429 || aStatus == 503;
-  }
-
   [[nodiscard]] static bool IsFailure(unsigned aStatus)
   {
     return aStatus >= 500 || ImpliesNotRun(aStatus);
@@ -438,6 +490,12 @@
   std::shared_ptr<ServerRequest> mServerRequest;
   ContentPermit mPermit;
   std::map<unsigned, RunningAttempt> mAttempts;
+  /// Attempts that go on after `TryRelease`.
+  std::vector<RunningAttempt> mReleased;
+  /// Number of servers that may run the request.
+  unsigned mMaxServers;
+  /// Number of servers that may have run the request before it came here.
+  unsigned mFormerServerCount = 0;
   ServerList mTriedServers;
   /// Servers whose connection broke and that may have run the request.
   ServerList mPossiblyRunBy;
--- a/src/gateway/trial_exchange.cpp
+++ b/src/gateway/trial_exchange.cpp
@@ -5,13 +5,16 @@
 
 namespace bronzedeal::gateway {
 
+using std::chrono::steady_clock;
+
 namespace {
 
-/// A trial takes the objective divided by this, and leaves the rest of it to
-/// the hand-over.
+/// A trial that has brought no answer by then is handed over after the
+/// objective divided by this. The rest of it is left to the hand-over.
 constexpr int kTrialObjectiveDivisor = 2;
 
-/// A request that is served here first, and by a helper if that fails.
+/// A request that is sent to a server here first, and served by a helper if
+/// that brings no answer in time. All its servers count together.
 class TrialExchange
   : public Exchange
   , public std::enable_shared_from_this<TrialExchange>
@@ -26,15 +29,19 @@
     , mHelpers(std::move(aHelpers))
     , mReply(std::move(aReply))
   {
+    mRequest.usedServers = std::make_shared<UsedServers>();
   }
 
   void Start(const ServeHandler& aServe)
   {
+    mTimer = mContext.process.timers.Schedule(
+      steady_clock::now() + mRequest.route->objective / kTrialObjectiveDivisor,
+      [self = shared_from_this()] {
+        self->mTimer = {};
+        self->OnHandoverDue();
+      });
     auto request = mRequest;
-    request.deadline =
-      std::min(request.deadline,
-               std::chrono::steady_clock::now() +
-                 request.route->objective / kTrialObjectiveDivisor);
+    request.isTrial = true;
     auto exchange = aServe(std::move(request),
                            [self = shared_from_this()](CallerReply aReply) {
                              self->OnOwnReply(std::move(aReply));
@@ -47,6 +54,7 @@
   void Conclude() override
   {
     mIsOver = true;
+    mContext.process.timers.Cancel(mTimer);
     if (const auto exchange = mExchange) {
       exchange->Conclude();
     }
@@ -55,20 +63,47 @@
   void Cancel() override
   {
     mReply = nullptr;
-    if (const auto exchange = std::exchange(mExchange, nullptr)) {
-      exchange->Cancel();
+    mContext.process.timers.Cancel(mTimer);
+    for (auto* it : { &mExchange, &mReleased }) {
+      if (const auto exchange = std::exchange(*it, nullptr)) {
+        exchange->Cancel();
+      }
     }
   }
 
 private:
+  void OnHandoverDue()
+  {
+    const bool hasHelper =
+      mContext.peers.FindHelper(mHelpers.instances, steady_clock::now()) !=
+      nullptr;
+    if (mIsOver || !mReply || !mExchange || !hasHelper ||
+        !mExchange->TryRelease()) {
+      return; // It goes on here.
+    }
+    mIsOver = true;
+    mContext.process.log.Write(
+      "trial_handed_over",
+      { { "request", mRequest.caller.requestId },
+        { "used_servers",
+          static_cast<std::int64_t>(mRequest.usedServers->size()) },
+        { "max_attempts",
+          static_cast<std::int64_t>(mRequest.route->maxAttempts) } });
+    mReleased = std::move(mExchange);
+    mExchange = StartHandoverExchange(mContext, mRequest, mHelpers, mReply);
+  }
+
   void OnOwnReply(CallerReply aReply)
   {
     const bool isStopping = std::exchange(mIsOver, true);
+    mContext.process.timers.Cancel(mTimer);
     mExchange = nullptr;
     if (!mReply) {
       return;
     }
-    if (aReply.status >= 500 && !isStopping) {
+    const bool hasTime =
+      steady_clock::now() + kAnswerMargin < mRequest.deadline;
+    if (aReply.status >= 500 && !isStopping && hasTime) {
       mExchange = StartHandoverExchange(mContext, mRequest, mHelpers, mReply);
       if (mExchange) {
         return;
@@ -82,6 +117,9 @@
   HelperSet mHelpers;
   ReplyHandler mReply;
   std::shared_ptr<Exchange> mExchange;
+  /// The exchange with the servers here, once the request is handed over.
+  std::shared_ptr<Exchange> mReleased;
+  TimerQueue::Handle mTimer;
   /// True once the request is no longer served here, or must not be handed
   /// over.
   bool mIsOver = false;
--- a/tests/gateway/handover_test.cpp
+++ b/tests/gateway/handover_test.cpp
@@ -481,6 +481,14 @@
   const auto runs = UnprovenRunsOf(decoded->notices, ContentId{});
   ASSERT_EQ(runs.size(), 1U);
   EXPECT_EQ(runs.front().server, 7U);
+  handover.usedServers.Add("g0", "s-0");
+  const auto withServers = EncodeHandover(handover);
+  const auto both = decode(withServers.substr(23, withServers.size() - 25));
+  ASSERT_TRUE(both);
+  EXPECT_EQ(both->usedServers.Of("g0"), std::vector<ServerId>{ "s-0" });
+  EXPECT_EQ(UnprovenRunsOf(both->notices, ContentId{}).size(), 1U);
+  EXPECT_FALSE(decode("12 3 {\"crashes\":[],\"servers\":[]}"));
+  EXPECT_FALSE(decode("12 3 {\"crashes\":[],\"servers\":{\"g0\":[1]}}"));
   EXPECT_FALSE(decode("12 3 {"));
   EXPECT_FALSE(decode("12 3 {\"crashes\":[1]}"));
   EXPECT_FALSE(decode("12 {\"crashes\":[]}"));
@@ -552,6 +560,203 @@
   EXPECT_TRUE(cancelled);
 }
 
+// Guards against a trial and a hand-over that use the route's maximum number of
+// servers each, and against one that claims that the request hasn't run.
+TEST(Trial, CountsItsServerWithThoseOfTheHelper)
+{
+  std::optional<Handover> handover;
+  CutOffGateway fixture(
+    [&](CallerRequest aRequest, const ReplyHandler& aReply) {
+      handover = TakeHandover(aRequest.message);
+      aReply(RefusedReply("full", milliseconds(700)));
+      return nullptr;
+    });
+  const auto silent = [](auto&) {
+    return Reaction{ "", {}, false, false, true };
+  };
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  for (int n = 0; n < 3; ++n) {
+    servers.push_back(
+      std::make_unique<ScriptedServer>(fixture.process.context, silent));
+    fixture.AddServer(
+      "s-" + std::to_string(n), "g0", servers.back()->Address());
+  }
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::Idempotent) });
+  EXPECT_EQ(fixture.Ask("/one/a").status, 502U);
+  ASSERT_TRUE(handover);
+  EXPECT_EQ(handover->usedServers.size(), 1U);
+  const auto used = handover->usedServers.Of("g0");
+  ASSERT_EQ(used.size(), 1U);
+  std::size_t sendCount = 0;
+  for (std::size_t n = 0; n < servers.size(); ++n) {
+    sendCount += servers[n]->Requests().size();
+    EXPECT_EQ(servers[n]->Requests().size(),
+              used.front() == "s-" + std::to_string(n) ? 1U : 0U);
+  }
+  EXPECT_EQ(sendCount, 1U);
+}
+
+// Guards against a query that a trial sends to a server of each shard.
+TEST(Trial, SendsOneShardOfAQuery)
+{
+  std::optional<Handover> handover;
+  CutOffGateway fixture(
+    [&](CallerRequest aRequest, const ReplyHandler& aReply) {
+      handover = TakeHandover(aRequest.message);
+      aReply(OkReply());
+      return nullptr;
+    });
+  ScriptedServer server(fixture.process.context, [](auto&) {
+    return Reaction{ "", {}, false, false, true };
+  });
+  const std::vector<std::string> shards{ "g0", "g1", "g2" };
+  for (const auto& it : shards) {
+    fixture.AddServer("s-" + it, it, server.Address());
+  }
+  fixture.Publish({ TestGateway::FanoutRoute(shards, 1) });
+  EXPECT_EQ(fixture.Ask("/all/a").status, 200U);
+  EXPECT_EQ(server.Requests().size(), 1U);
+  ASSERT_TRUE(handover);
+  EXPECT_EQ(handover->usedServers.size(), 1U);
+}
+
+// Guards against an instance that stays cut off because its servers answer
+// later than the trial is handed over.
+TEST(Trial, AwaitsALateAnswer)
+{
+  CutOffGateway fixture([](auto&&, const ReplyHandler& aReply) {
+    aReply(OkReply());
+    return nullptr;
+  });
+  ScriptedServer server(fixture.process.context, [](auto&) {
+    return Reaction{ Response(
+                       200, "X-Request-Id: r-1\r\nX-Signature: s\r\n", ""),
+                     milliseconds(900) };
+  });
+  fixture.AddServer("s-0", "g0", server.Address());
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::Idempotent) });
+  const auto epoch = fixture.process.linkEvidence.Epoch();
+  EXPECT_EQ(fixture.Ask("/one/a").status, 200U);
+  EXPECT_EQ(fixture.handedOver, 1U);
+  const auto state = [&] {
+    return fixture.servers.Find("s-0")->AnswerState(
+      std::chrono::steady_clock::now());
+  };
+  EXPECT_NE(state(), AnswerState::Answering);
+  fixture.RunUntil([&] { return state() == AnswerState::Answering; });
+  EXPECT_EQ(state(), AnswerState::Answering);
+  // What was observed of the other servers is outdated.
+  EXPECT_NE(fixture.process.linkEvidence.Epoch(), epoch);
+}
+
+// Guards against work for a caller that has left after the hand-over.
+TEST(Trial, EndsWhenTheCallerLeaves)
+{
+  CutOffGateway fixture([](auto&&, const ReplyHandler&) { return nullptr; });
+  ScriptedServer server(fixture.process.context, [](auto&) {
+    return Reaction{ "", {}, false, false, true };
+  });
+  fixture.AddServer("s-0", "g0", server.Address());
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::Idempotent) });
+  const auto exchange = fixture.gateway.Handle(
+    TestGateway::Request("/one/a"), [](const CallerReply&) { FAIL(); });
+  fixture.RunUntil([&] { return fixture.handedOver == 1; });
+  EXPECT_EQ(server.ClosedCount(), 0U);
+  const auto leftAt = std::chrono::steady_clock::now();
+  exchange->Cancel();
+  fixture.RunUntil([&] { return server.ClosedCount() == 1; });
+  EXPECT_EQ(server.ClosedCount(), 1U);
+  // Its own deadline is 3 s away.
+  EXPECT_LT(std::chrono::steady_clock::now() - leftAt, seconds(2));
+}
+
+// Guards against helpers of a former version, which count the servers of a
+// request anew.
+TEST(Trial, IsNotMadeBesideFormerHelpers)
+{
+  CutOffGateway fixture(
+    [](auto&&, const ReplyHandler& aReply) {
+      aReply(OkReply());
+      return nullptr;
+    },
+    1,
+    kFormerCapabilities);
+  ScriptedServer server(fixture.process.context, [](auto&) {
+    return Reaction{ "", {}, false, false, true };
+  });
+  fixture.AddServer("s-0", "g0", server.Address());
+  fixture.Publish({ TestGateway::SingleRoute(Repeatability::Idempotent) });
+  EXPECT_EQ(fixture.Ask("/one/a").status, 200U);
+  EXPECT_EQ(server.Requests().size(), 0U);
+}
+
+// Guards against requests that run on more servers than their route allows,
+// since a helper doesn't count those of the instance that handed them over.
+RC_GTEST_PROP(Handover, KeepsToTheServersThatAreLeft, ())
+{
+  const auto isQuery = *rc::gen::arbitrary<bool>();
+  const auto maxAttempts = *rc::gen::inRange(1U, 4U);
+  const auto knownCount = *rc::gen::inRange(0U, 3U);
+  const auto unknownCount = *rc::gen::inRange(0U, 2U);
+  constexpr unsigned kServers = 5;
+  TestGateway fixture;
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  UsedServers used;
+  for (unsigned n = 0; n < kServers; ++n) {
+    servers.push_back(
+      std::make_unique<ScriptedServer>(fixture.process.context, [](auto&) {
+        return Reaction{ "", {}, false, true };
+      }));
+    const auto id = "s-" + std::to_string(n);
+    fixture.AddServer(id, "g0", servers.back()->Address());
+    if (n < knownCount) {
+      used.Add("g0", id);
+    }
+  }
+  for (unsigned n = 0; n < unknownCount; ++n) {
+    used.Add("g0", "gone-" + std::to_string(n));
+  }
+  auto route = isQuery ? TestGateway::FanoutRoute({ "g0" }, 1)
+                       : TestGateway::SingleRoute(Repeatability::Idempotent);
+  route.maxAttempts = maxAttempts;
+  route.timeout = milliseconds(150);
+  fixture.Publish({ route });
+  std::optional<CallerReply> reply;
+  const auto exchange = fixture.gateway.Handle(
+    TestGateway::Request(isQuery ? "/all/a" : "/one/a"),
+    [&](CallerReply aReply) { reply = std::move(aReply); },
+    true,
+    used);
+  fixture.RunUntil([&] { return reply.has_value(); });
+  RC_ASSERT(reply.has_value());
+  unsigned newCount = 0;
+  for (unsigned n = knownCount; n < kServers; ++n) {
+    newCount += servers[n]->Requests().empty() ? 0U : 1U;
+  }
+  const auto formerCount = knownCount + unknownCount;
+  RC_ASSERT(newCount <=
+            (maxAttempts > formerCount ? maxAttempts - formerCount : 0));
+}
+
+// Guards against a request that may have run at a server and is forgotten
+// there, and against one refusal that takes back another send.
+TEST(UsedServers, CountsServersAndTheirSends)
+{
+  UsedServers used;
+  used.Add("g0", "s-0");
+  used.Add("g0", "s-0");
+  used.Add("g1", "s-0");
+  EXPECT_EQ(used.size(), 2U);
+  used.Remove("g0", "s-0");
+  EXPECT_EQ(used.Of("g0"), std::vector<ServerId>{ "s-0" });
+  used.Remove("g0", "s-0");
+  used.Remove("g0", "s-0");
+  EXPECT_TRUE(used.Of("g0").empty());
+  EXPECT_EQ(used.Groups(), std::vector<std::string>{ "g1" });
+  used.Remove("g1", "s-0");
+  EXPECT_TRUE(used.IsEmpty());
+}
+
 // Guards against deadlines that begin anew at the helper, and against marks of
 // callers that are taken for those of instances.
 TEST(Handover, KeepsTheTimesOfTheCallersRequest)
