--- a/src/gateway/backend_server_evidence.cpp
+++ b/src/gateway/backend_server_evidence.cpp
@@ -21,19 +21,6 @@
 /// Time to wait for an answer after which another connection may show more.
 constexpr auto kLinkAwaitTime = milliseconds(2000);
 
-/// A server may take the objective of a request to answer it, before this
-/// counts as silence; but not longer than this, since lost links must be
-/// noticed.
-constexpr auto kMaxPatience = milliseconds(2500);
-
-bool IsBeyondObjective(const Attempt& aAttempt, TimePoint aNow)
-{
-  const std::chrono::duration<double, std::milli> objective(
-    aAttempt.request->profile.objectiveMs);
-  const auto waited = aNow - aAttempt.sentAt;
-  return waited >= objective || waited >= kMaxPatience;
-}
-
 } // namespace
 
 std::uint32_t BackendServer::RunHash() const noexcept
@@ -49,9 +36,7 @@
   }
   std::optional<TimePoint> oldestSentAt;
   for (const auto& it : mInFlight) {
-    if (IsBeyondObjective(*it, aNow)) {
-      oldestSentAt = std::min(oldestSentAt.value_or(it->sentAt), it->sentAt);
-    }
+    oldestSentAt = std::min(oldestSentAt.value_or(it->sentAt), it->sentAt);
   }
   return mAnswers.State(oldestSentAt, mProcess.linkEvidence.Epoch(), aNow);
 }
--- a/tests/gateway/backend_server_test.cpp
+++ b/tests/gateway/backend_server_test.cpp
@@ -68,35 +68,6 @@
 
 } // namespace
 
-// Guards against servers that count as silent, and so an instance that counts
-// as cut off, because requests take as long as their objective allows.
-TEST(BackendServer, AwaitsAnswersForTheirObjective)
-{
-  TestGateway fixture;
-  ScriptedServer server(fixture.process.context, [](auto&) {
-    return Reaction{ "", {}, false, false, true };
-  });
-  auto target = std::make_shared<BackendServer>(fixture.process,
-                                                MakeRecord(server.Address()));
-  auto request = MakeRequest();
-  request->profile.objectiveMs = 2200;
-  const auto attempt = target->Send(request, [](auto, auto, auto*) {});
-  fixture.RunUntil([&] { return server.Requests().size() == 1; });
-  const auto stateAfter = [&](int aMs) {
-    return target->AnswerState(attempt->sentAt + milliseconds(aMs));
-  };
-  EXPECT_EQ(stateAfter(2100), AnswerState::Unknown);
-  EXPECT_EQ(stateAfter(2200), AnswerState::NotAnswering);
-  // Whatever the objective, a cut must be known within the bound of contact.
-  request->profile.objectiveMs = 9000;
-  EXPECT_EQ(stateAfter(2400), AnswerState::Unknown);
-  EXPECT_EQ(stateAfter(2500), AnswerState::NotAnswering);
-  // Requests that should take less wait for as long as before.
-  request->profile.objectiveMs = 100;
-  EXPECT_EQ(stateAfter(1400), AnswerState::Unknown);
-  EXPECT_EQ(stateAfter(1500), AnswerState::NotAnswering);
-}
-
 // Guards against a late copy of an answer that decides the second send of the
 // request on the same connection (review/6), at servers and other instances.
 TEST(BackendServer, SendsARequestOnAConnectionOnce)
