A caller's hand-over mark stays at the instance that it reaches

What callers could do: state `X-Bronzedeal-Handover` themselves. Parts of a query go to other instances with the caller's fields, and these take such a part for a request that was handed over. Since the mark carries what is known of a content and the servers used, a caller could also have contents refused.

Cause: fields of messages between instances were passed on when a caller sent them.

Change: the mark of a caller's request is removed before it is served.

--- a/include/bronzedeal/gateway/handover.hpp
+++ b/include/bronzedeal/gateway/handover.hpp
@@ -33,7 +33,7 @@
 /// understand it.
 [[nodiscard]] std::string EncodeHandover(const Handover& aHandover);
 
-/// Parses and removes the mark of a request; nothing if it has none or a
+/// Removes the mark of a request and parses it; nothing if there is none or a
 /// malformed one.
 [[nodiscard]] std::optional<Handover> TakeHandover(RequestMessage& aRequest);
 
--- a/src/gateway/gateway_instance.cpp
+++ b/src/gateway/gateway_instance.cpp
@@ -17,6 +17,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <tuple>
 
 namespace bronzedeal::gateway {
 
@@ -137,6 +138,8 @@
       aReply(RefusedReply("no servers known yet", milliseconds(200)));
       return nullptr;
     }
+    // Other instances, to which parts of a query go, would believe it.
+    std::ignore = TakeHandover(aRequest.message);
     return gateway.Handle(std::move(aRequest), std::move(aReply));
   }
 
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -346,5 +346,40 @@
         self.assertTrue(world.wait(it.ready))
 
 
+class ForgedMarkTest(WorldTestCase):
+    """Queries whose parts go to instances of other failure domains."""
+
+    instances = 3
+    SHARDS = 12
+    QUERIES = 10
+    MARK = '0 0 {"crashes":[],"servers":{"part-0":["i-part-0"]}}'
+
+    def test_passes_no_mark_of_a_caller_to_other_instances(self):
+        """Guards against callers who pretend that another instance hands their
+        request over, with what it would state about contents and servers."""
+        world = self.world
+        shards = ["part-%d" % n for n in range(self.SHARDS)]
+        for n, it in enumerate(shards):
+            world.add_server("i-" + it, it, world.zones[n % 3])
+        world.publish(shards=shards)
+        time.sleep(4)  # Until the version is in force.
+        for n in range(self.QUERIES):
+            ident = "forged-%d" % n
+            world.history.add("sent", id=ident, path="/all/" + ident,
+                              instance="gw-0")
+            answer = standin.ask(
+                world.instances[0].address("front"), "/all/" + ident,
+                headers={"Host": "shop.example", "Request-Id": ident,
+                         "Request-Deadline": "2500",
+                         "X-Bronzedeal-Handover": self.MARK})
+            self.assertEqual(200, answer.status)
+            self.assertEqual("0", answer.headers["Missing-Parts"])
+        runs = [it for it in world.history.of("run")
+                if it["id"].startswith("forged-")]
+        # Some shards may have been hedged.
+        self.assertLess(len(runs), 1.5 * self.QUERIES * self.SHARDS)
+        self.assert_no_violations()
+
+
 if __name__ == "__main__":
     unittest.main()
