Read what has arrived before a timeout ends a connection

Cause: OnTimeout decided by the clock alone. The event loop reads sockets before timers of the same batch, but not what arrives while the process is delayed within a batch; the idle and header timeouts that become due in such a delay were handled first.

Change: the connection reads once more before it closes or rejects.

Evidence: two new tests delay the loop within a batch. The platform test now reports how long the connections were idle at the pause, so that a delay of the test itself can be told apart.

--- a/src/gateway/http_connection.cpp
+++ b/src/gateway/http_connection.cpp
@@ -196,6 +196,9 @@
   if (IsAwaitingReader()) {
     mListener->process.metrics.Add(process::Counter::RepliesShed);
     Close();
+  } else if (ReadAwaitedRequest()) {
+    // It arrived during a delay of the event loop.
+    return;
   } else if (mRequestStarted) {
     RejectUnreadable(408);
   } else if (now < idleEnd) {
@@ -238,6 +241,18 @@
   return true;
 }
 
+bool HttpListener::Connection::ReadAwaitedRequest()
+{
+  const bool wasIdle = !mRequestStarted;
+  while (mIsOpen && Read()) {
+    Parse();
+    if (wasIdle || !mRequestStarted || mRequestInProgress) {
+      return true;
+    }
+  }
+  return !mIsOpen;
+}
+
 void HttpListener::Connection::OnReadable()
 {
   if (Read() && !mRequestInProgress) {
--- a/src/gateway/http_connection.hpp
+++ b/src/gateway/http_connection.hpp
@@ -103,6 +103,10 @@
   }
   /// Reads what has arrived; returns whether there was anything.
   bool Read();
+  /// Reads what has arrived; true if the connection no longer waits for its
+  /// client as before, because a request has begun or become whole or the
+  /// connection has been closed.
+  bool ReadAwaitedRequest();
   void OnReadable();
   void OnCallerDisconnected();
   void Parse();
--- a/tests/gateway/listener_test.cpp
+++ b/tests/gateway/listener_test.cpp
@@ -4,6 +4,7 @@
 #include "bronzedeal/gateway/http_listener.hpp"
 
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace bronzedeal::gateway::test {
 
@@ -192,6 +193,87 @@
   EXPECT_NE(fixture.ReadUntil("|").find("200"), std::string::npos);
 }
 
+/// Two clients of a listener with short timeouts. A request for `/delay` of the
+/// second one delays the event loop beyond them, while the first one sends
+/// `sentMeanwhile`; timers run before the loop reads that.
+struct DelayedLoopFixture : ListenerFixture
+{
+  static constexpr milliseconds kTimeout{ 200 };
+
+  DelayedLoopFixture()
+    : ListenerFixture(
+        [this](const CallerRequest& aRequest, const ReplyHandler& aReply) {
+          if (aRequest.message.target() == "/delay") {
+            Send(sentMeanwhile);
+            std::this_thread::sleep_for(2 * kTimeout);
+          }
+          aReply(TextReply(200, "end"));
+          return nullptr;
+        })
+    , delayer(process.context)
+  {
+    CallerLimits limits;
+    limits.idleTimeout = kTimeout;
+    limits.headerTimeout = kTimeout;
+    listener.SetLimits(limits);
+    delayer.connect(listener.Address());
+    Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(ReadUntil("end").find("200"), std::string::npos);
+    RunUntil([&] { return listener.ConnectionCount() == 2; });
+  }
+
+  /// Makes the request and a timer ready in the same turn of the event loop,
+  /// and returns what the first client gets.
+  std::string DelayAndRead()
+  {
+    asio::write(
+      delayer,
+      asio::buffer(std::string_view("GET /delay HTTP/1.1\r\nHost: h\r\n\r\n")));
+    process.timers.Schedule(std::chrono::steady_clock::now(), [] {});
+    return ReadUntil("end");
+  }
+
+  tcp::socket delayer;
+  std::string sentMeanwhile;
+};
+
+// Guards against requests that are cut because the idle timeout is handled
+// before what arrived during a delay of the event loop.
+TEST(HttpListener, ReadsBeforeItClosesAnIdleConnection)
+{
+  DelayedLoopFixture fixture;
+  fixture.sentMeanwhile = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  EXPECT_NE(fixture.DelayAndRead().find("200"), std::string::npos);
+}
+
+// Guards against a 408 for requests whose rest arrived in time, during a delay
+// of the event loop.
+TEST(HttpListener, ReadsTheRestBeforeItRejectsAnIncompleteRequest)
+{
+  // Larger than one read.
+  constexpr std::size_t kBodyBytes = 50'000;
+  DelayedLoopFixture fixture;
+  fixture.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+               std::to_string(kBodyBytes) + "\r\n");
+  // Until the listener has read it.
+  const auto until = std::chrono::steady_clock::now() + milliseconds(50);
+  fixture.RunUntil([&] { return std::chrono::steady_clock::now() > until; });
+  fixture.sentMeanwhile = "\r\n" + std::string(kBodyBytes, 'x');
+  EXPECT_NE(fixture.DelayAndRead().find("200"), std::string::npos);
+}
+
+// Guards against connections that bytes of an incomplete request keep open
+// beyond the timeout.
+TEST(HttpListener, RejectsARequestThatIsStillIncompleteAfterADelay)
+{
+  DelayedLoopFixture fixture;
+  fixture.Send("GET /a HTTP/1.1\r\n");
+  const auto until = std::chrono::steady_clock::now() + milliseconds(50);
+  fixture.RunUntil([&] { return std::chrono::steady_clock::now() > until; });
+  fixture.sentMeanwhile = "Host: h\r\n";
+  EXPECT_NE(fixture.DelayAndRead().find("408"), std::string::npos);
+}
+
 // Guards against answers to the first request on a connection that come too
 // late, because the caller counts the connect as well.
 TEST(HttpListener, EstimatesTheNetworkDelayOfTheCaller)
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -50,8 +50,10 @@
         for it in connections:
             self.addCleanup(it.close)
             self.assertEqual(200, world.call("read", connection=it).status)
+        answered = time.monotonic()
         time.sleep(1)
         instance.signal(signal.SIGSTOP)
+        idle_s = time.monotonic() - answered
         statuses = []
         callers = [threading.Thread(target=lambda it=it: statuses.append(
             world.call("write", connection=it).status)) for it in connections]
@@ -61,7 +63,8 @@
         instance.signal(signal.SIGCONT)
         for it in callers:
             it.join()
-        self.assertEqual([200] * len(connections), statuses)
+        self.assertEqual([200] * len(connections), statuses,
+                         "idle for %.3f s at the pause" % idle_s)
         self.assert_no_violations()
 
     def test_activates_published_configurations(self):
