Give the tests of delayed timeouts more time before the delay

The first version had timeouts of 200 ms, which a busy machine may use up before the delay begins; then the connection is closed rightly and the test fails. No check changed.

--- a/tests/gateway/listener_test.cpp
+++ b/tests/gateway/listener_test.cpp
@@ -198,14 +198,14 @@
 /// `sentMeanwhile`; timers run before the loop reads that.
 struct DelayedLoopFixture : ListenerFixture
 {
-  static constexpr milliseconds kTimeout{ 200 };
+  static constexpr milliseconds kTimeout{ 1500 };
 
   DelayedLoopFixture()
     : ListenerFixture(
         [this](const CallerRequest& aRequest, const ReplyHandler& aReply) {
           if (aRequest.message.target() == "/delay") {
             Send(sentMeanwhile);
-            std::this_thread::sleep_for(2 * kTimeout);
+            std::this_thread::sleep_for(kTimeout);
           }
           aReply(TextReply(200, "end"));
           return nullptr;
@@ -222,6 +222,14 @@
     RunUntil([&] { return listener.ConnectionCount() == 2; });
   }
 
+  /// Sends the first part of a request, and waits until it has been read.
+  void SendFirstPart(const std::string& aBytes)
+  {
+    Send(aBytes);
+    const auto end = std::chrono::steady_clock::now() + kTimeout / 10;
+    RunUntil([&] { return std::chrono::steady_clock::now() > end; });
+  }
+
   /// Makes the request and a timer ready in the same turn of the event loop,
   /// and returns what the first client gets.
   std::string DelayAndRead()
@@ -253,11 +261,8 @@
   // Larger than one read.
   constexpr std::size_t kBodyBytes = 50'000;
   DelayedLoopFixture fixture;
-  fixture.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-               std::to_string(kBodyBytes) + "\r\n");
-  // Until the listener has read it.
-  const auto until = std::chrono::steady_clock::now() + milliseconds(50);
-  fixture.RunUntil([&] { return std::chrono::steady_clock::now() > until; });
+  fixture.SendFirstPart("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                        std::to_string(kBodyBytes) + "\r\n");
   fixture.sentMeanwhile = "\r\n" + std::string(kBodyBytes, 'x');
   EXPECT_NE(fixture.DelayAndRead().find("200"), std::string::npos);
 }
@@ -267,9 +272,7 @@
 TEST(HttpListener, RejectsARequestThatIsStillIncompleteAfterADelay)
 {
   DelayedLoopFixture fixture;
-  fixture.Send("GET /a HTTP/1.1\r\n");
-  const auto until = std::chrono::steady_clock::now() + milliseconds(50);
-  fixture.RunUntil([&] { return std::chrono::steady_clock::now() > until; });
+  fixture.SendFirstPart("GET /a HTTP/1.1\r\n");
   fixture.sentMeanwhile = "Host: h\r\n";
   EXPECT_NE(fixture.DelayAndRead().find("408"), std::string::npos);
 }
